--- /dev/null
+++ b/tests/test_project.py
@@ -0,0 +1,17 @@
+"""Limits the project sets itself."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_the_decision_module_stays_within_its_limit() -> None:
+    lines = (ROOT / "whinrouter" / "balance.py").read_text().splitlines()
+    assert len([line for line in lines if line.strip()]) <= 400
+    assert max(map(len, lines)) <= 110
+
+
+def test_the_decision_module_names_its_interface_at_the_top() -> None:
+    assert "interface.py" in (ROOT / "whinrouter" / "balance.py").read_text().splitlines()[0]
--- /dev/null
+++ b/tests/test_subset.py
@@ -0,0 +1,55 @@
+"""Which servers a balancer keeps to where there are many balancers."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from whinrouter.balance import FAN_IN
+from whinrouter.interface import MS, SECOND, Settings
+
+from .helpers import CLASSES, Driver
+
+
+def servers_used(rank: int, balancers: int, count: int, requests: int = 40) -> set[int]:
+    driver = Driver(Settings(CLASSES, balancers=balancers, rank=rank), count)
+    return {driver.serve().server for _ in range(requests)}
+
+
+def test_a_few_balancers_use_every_server() -> None:
+    assert servers_used(3, 5, 12, requests=200) == set(range(1, 13))
+
+
+def test_many_balancers_share_each_server_evenly() -> None:
+    """Each opening a connection to every server, hundreds of balancers filled the tables of all of them."""
+    balancers, count = 8 * FAN_IN, 64
+    shared = Counter(server for rank in range(balancers) for server in servers_used(rank, balancers, count))
+    assert len(shared) == count
+    assert set(shared.values()) == {FAN_IN}
+
+
+def test_another_server_stands_in_where_the_subset_does_not_admit() -> None:
+    driver = Driver(Settings(CLASSES, balancers=100 * FAN_IN, rank=7, max_attempts=9), 40)
+    busy = [driver.out(driver.ask())[0].server for _ in range(30)]
+    assert len(set(busy)) > 4
+
+
+def test_of_two_servers_the_one_with_quicker_answers_is_tried_first() -> None:
+    driver = Driver(Settings(CLASSES), 2, seed=3)
+    for _ in range(60):
+        sent = driver.out(driver.ask())[0]
+        driver.now += (40 if sent.server == 1 else 10) * MS
+        driver.end(sent)
+    assert sum(sent.server == 2 for sent in driver.sent[20:]) > 30
+
+
+def test_a_pace_not_seen_again_is_forgotten() -> None:
+    """A server once slow would never be drawn first again."""
+    driver = Driver(Settings(CLASSES), 2, seed=3)
+    used = []
+    for _ in range(60):
+        sent = driver.out(driver.ask())[0]
+        used.append(sent.server)
+        driver.now += (40 if sent.server == 1 else 10) * MS
+        driver.end(sent)
+        driver.now += SECOND
+    assert 15 < used.count(1) < 45
--- /dev/null
+++ b/whinrouter/balance.py
@@ -0,0 +1,463 @@
+"""The decisions; its types, settings, events and actions stand in interface.py.
+
+A `Balancer` takes one event and its time and returns the actions to carry out. It reads no clock, does no I/O
+and shares nothing; given the same settings, seed and events it does the same.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from hashlib import blake2b
+from random import Random
+
+from whinrouter.interface import (
+    SECOND, Action, Attempt, AttemptEnded, Cancel, Effect, Event, Fail, Outcome, Pending, Refuse, Request,
+    RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId, ServerList, SetTimer, Settings,
+    State, StreamStarted, Subscribe, TimerFired, Update,
+)  # fmt: skip
+
+WINDOW = 60 * SECOND  # failures older than this are forgotten
+THRESHOLD = 3  # failures that open a breaker
+COOLDOWN, MAX_COOLDOWN = SECOND // 4, 20 * SECOND
+JITTER = 0.15
+OPEN_SHARE = 0.5  # no closed breaker counts a failure while this share of them is open
+
+FAN_IN = 20  # balancers that share a server, where there are more
+LEAST_SUBSET = 4  # servers that a balancer keeps to at least
+
+FIRST_LIMIT = 4.0  # attempts a balancer may have in flight at a server it has just met
+TARGET = 0.5  # share of the aim within which answers come in while a server has room
+SHED_TIME = SECOND // 2  # late answers for this long leave about a third of the share that is admitted
+SIGN = SECOND // 4  # an answer speaks for the time since the one before it, but for no longer than this
+SAVED = 5  # seconds of its share that a tenant may save up
+BACK_OFF = 0.7  # by which each sign of overload cuts that limit
+
+LATE = 2.5  # an attempt out this many times as long as its like usually take is late
+EXTRA_SHARE = 0.1  # retry budget: attempts past the fallback, and hedges, for each request on average
+EXTRA_BURST = 20.0  # saved up at most, by all balancers together
+RECALL = SECOND // 2  # a server's pace is remembered for this long
+STEP = 1.04  # by which the usual time follows each answer
+
+RATE_WINDOW = 2 * SECOND  # over which the work that servers did is averaged
+SUM_EVERY = 100_000  # not at every look: with a hundred cold servers that overran the CPU share
+COLD_PART = 0.4  # of what would push a cold server over
+COLD_BURST = 300_000  # a cold server's allowance is saved up for this long at most
+
+# A time-out is none: the client's own limit cut it short. Being late is judged before, by peers.
+FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.UNKNOWN}
+
+
+class Breaker:
+    """Closed it admits all; open, nothing; once its cooldown is over it is half-open and admits one trial."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._failures: deque[int] = deque()
+        self._reopens: int | None = None  # end of the cooldown; None while closed
+        self._cooldown = COOLDOWN
+        self._trial = False
+
+    @property
+    def closed(self) -> bool:
+        return self._reopens is None
+
+    def admits(self, now: int) -> bool:
+        return self._reopens is None or (now >= self._reopens and not self._trial)
+
+    def start(self) -> bool:
+        self._trial = self._reopens is not None
+        return self._trial
+
+    def abandon(self) -> None:
+        """The trial was given up: its slot is free, without a verdict."""
+        self._trial = False
+
+    def succeed(self, trial: bool) -> None:
+        if self.closed:
+            self._failures.clear()
+        elif trial:
+            self._failures.clear()
+            self._reopens, self._trial, self._cooldown = None, False, COOLDOWN
+
+    def fail(self, now: int, trial: bool) -> None:
+        if trial:
+            self._cooldown = min(2 * self._cooldown, MAX_COOLDOWN)
+            self._open(now)
+        elif self.closed:
+            self._failures.append(now)
+            while self._failures[0] <= now - WINDOW:
+                self._failures.popleft()
+            if len(self._failures) >= THRESHOLD:
+                self._open(now)
+
+    def _open(self, now: int) -> None:
+        self._trial = False
+        self._failures.clear()
+        self._reopens = now + round(self._cooldown * self._random.uniform(1 - JITTER, 1 + JITTER))
+
+
+def _rank(key: str, server: ServerId) -> bytes:
+    return blake2b(f"{key} {server}".encode(), digest_size=8).digest()
+
+
+@dataclass(slots=True, eq=False)
+class _Host:
+    info: Server
+    breaker: Breaker
+    refilled: int  # when its allowance was brought up to date
+    allowance: float = 0.0  # work that may be sent while cold
+    in_flight: int = 0
+    limit: float = FIRST_LIMIT  # in flight at most; grows with answers in time, shrinks with late ones
+    cut: int = 0  # when the limit was last cut
+    pace: float = 1.0  # how long its answers take, as a multiple of the usual time
+    paced: int = 0
+
+    def busy(self, now: int) -> float:
+        """In flight by pace; a pace not seen again is forgotten, or a bad spell would last for ever."""
+        return (self.in_flight + 1) * (1 + (self.pace - 1) * max(0.0, 1 - (now - self.paced) / RECALL))
+
+
+class Balancer:
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self._settings = settings
+        self._random = Random(seed)
+        self._classes = {kind.name: kind for kind in settings.classes}
+        self._hosts: dict[ServerId, _Host] = {}  # those that may be sent to
+        self._pending: dict[RequestId, Pending] = {}
+        self._served: dict[str, float] = {}  # work done by each kind of server, averaged
+        self._counted = 0
+        self._spare = self._most_spare = max(1.0, EXTRA_BURST / settings.balancers)  # extra attempts
+        self._warm: dict[str, float] = {}  # servers of each kind, counted by warmth
+        self._summed = -SUM_EVERY
+        self._seen: dict[tuple[str, bool], int] = {}  # requests by class, and by whether beyond a share
+        self._asked: dict[tuple[str, bool], float] = {}  # work asked for, likewise
+        self._credit = {tenant: (allowance * SAVED, 0) for tenant, allowance in settings.allowances.items()}
+        self._share, self._signed = 1.0, 0  # share of the work that is admitted; when an answer last moved it
+        self._order: list[_Host] = []  # for drawing at random
+        self._spill: list[_Host] = []  # those outside its subset, in the order in which they stand in
+        self._patience: dict[str, int] = {}  # the longest time a client has left to its first try, by class
+        self._usual: dict[str, float] = {}  # median time of an answer by class, for each unit of cost
+
+    def handle(self, event: Event, now: int) -> list[Action]:
+        if isinstance(event, Request):
+            return self._on_request(event, now)
+        if isinstance(event, AttemptEnded):
+            return self._on_end(event, now)
+        if isinstance(event, ServerList):
+            return self._on_servers(event, now)
+        if isinstance(event, TimerFired):
+            return [Subscribe()] if event.token == "subscribe" else self._on_late(event.token, now)
+        if isinstance(event, StreamStarted):
+            return self._on_stream(event, now)
+        pending = self._pending.get(event.request) if isinstance(event, RequestGone) else None
+        return self._settle(pending) if pending else []
+
+    def _on_servers(self, event: ServerList, now: int) -> list[Action]:
+        asks = self._settings.must_subscribe
+        if event.update is Update.ERROR:  # the list in hand stays in force; ask again, not all at once
+            return [SetTimer(round(SECOND * self._random.uniform(0.5, 1.5)), "subscribe")] if asks else []
+        named = {server.id: server for server in event.servers}
+        if event.update is not Update.CHANGES:
+            self._hosts = {server: host for server, host in self._hosts.items() if server in named}
+        for server, info in named.items():
+            known = self._hosts.get(server)
+            if info.state is not State.READY:
+                self._hosts.pop(server, None)
+            elif known is None or known.info.started != info.started:
+                # A restarted server is a new one: cold, and its breaker fresh.
+                self._hosts[server] = _Host(info, Breaker(self._random), now)
+            else:
+                known.info = info
+        self._summed = now - SUM_EVERY
+        self._order, self._spill = self._subset()
+        return [Subscribe()] if asks and event.update is Update.STALE else []
+
+    def _subset(self) -> tuple[list[_Host], list[_Host]]:
+        """This balancer's servers, and the others in the order in which they stand in.
+
+        Hundreds of balancers with a connection each fill every server's table, and the rest cannot connect.
+        Balancers in turn cut the same shuffled ring into equal slices, so each server serves as many of them.
+        """
+        count, known = self._settings.balancers, len(self._hosts)
+        slices = max(1, min(count // FAN_IN, known // LEAST_SUBSET))
+        turn, place = divmod(self._settings.rank, slices)
+        ring = sorted(self._hosts.values(), key=lambda host: _rank(str(turn), host.info.id))
+        first, end = place * known // slices, (place + 1) * known // slices
+        return ring[first:end], ring[end:] + ring[:first]
+
+    def _warmth(self, host: _Host, now: int) -> float:
+        """The least share of its capacity that a server has by now."""
+        ramp, started = self._settings.ramp_time, host.info.started
+        if not started or now >= started + ramp:
+            return 1.0
+        floor = self._settings.cold_share
+        return floor + (1 - floor) * max(0, now - started) / ramp
+
+    def _count(self, kind: str, cost: float, now: int) -> None:
+        """Add to the work that servers of a kind did lately."""
+        kept = max(0.0, 1 - (now - self._counted) / RATE_WINDOW)
+        self._served = {name: work * kept for name, work in self._served.items()}
+        self._served[kind] = self._served.get(kind, 0.0) + cost
+        self._counted = now
+
+    def _refill(self, host: _Host, cost: float, now: int) -> None:
+        """Give a cold server its share, by present capacity, of the work that its kind did lately.
+
+        Work asked for would not do: retries swell it. Each balancer's shares follow its own traffic.
+        """
+        if now >= self._summed + SUM_EVERY:
+            self._warm = {}
+            for other in self._hosts.values():
+                kind = other.info.kind
+                self._warm[kind] = self._warm.get(kind, 0.0) + self._warmth(other, now)
+            self._summed = now
+        rate = self._served.get(host.info.kind, 0.0) / RATE_WINDOW / self._warm[host.info.kind]
+        # A trickle even where nothing is known yet; split, as that of many balancers alone pushed one over.
+        trickle = cost / RATE_WINDOW / self._settings.balancers
+        rate = max(rate * self._warmth(host, now) * self._settings.fall_multiple * COLD_PART, trickle)
+        host.allowance = min(host.allowance + rate * (now - host.refilled), max(rate * COLD_BURST, cost))
+        host.refilled = now
+
+    def _on_request(self, event: Request, now: int) -> list[Action]:
+        kind = self._classes.get(event.class_name)
+        if kind is None:  # a class never announced may hold anything: it must not run twice
+            kind = RequestClass(event.class_name, event.timeout or 1, event.timeout or 1, Effect.AT_MOST_ONCE)
+            self._classes[kind.name] = kind
+        pending = Pending(event, kind, now, now + event.timeout)
+        self._pending[event.id] = pending
+        self._spare = min(self._most_spare, self._spare + EXTRA_SHARE)
+        part = kind.name, self._beyond(event, now)
+        self._seen[part] = self._seen.get(part, 0) + 1
+        self._asked[part] = self._asked.get(part, 0.0) + self._cost(pending)
+        if self._too_late(event, kind) or (self._share < 1 and self._random.random() >= self._admitted(part)):
+            return self._answer(pending)
+        return self._advance(pending, now)
+
+    def _too_late(self, event: Request, kind: RequestClass) -> bool:
+        """Whether a client's retry comes after the aim; under overload it keeps what is in time waiting."""
+        if not event.retry:
+            self._patience[kind.name] = max(event.timeout, self._patience.get(kind.name, 0))
+        known = event.retry and event.timeout < self._patience.get(kind.name, 0)  # cut short by the deadline
+        return known and kind.late_worth == 0 and kind.deadline - event.timeout > kind.aim
+
+    def _sign(self, in_time: bool, now: int) -> None:
+        """Overload shows in this balancer's own answers: it then admits less, and more again once it is over.
+
+        Signs are weighed by time, not counted: one balancer that sees all and one of hundreds react alike.
+        """
+        weight, self._signed = min(now - self._signed, SIGN) / SHED_TIME, now
+        self._share = min(1.0, self._share + weight) if in_time else self._share * (1 - weight)
+
+    def _beyond(self, event: Request, now: int) -> bool:
+        """Whether it is beyond its tenant's share, as far as this balancer's part of that tells."""
+        if event.tenant not in self._credit:
+            return False
+        rate = self._settings.allowances[event.tenant]
+        credit, since = self._credit[event.tenant]
+        credit = min(rate * SAVED, credit + rate * (now - since) / SECOND)
+        self._credit[event.tenant] = max(0.0, credit - (not event.retry)), now
+        return credit < 1
+
+    def _admitted(self, part: tuple[str, bool]) -> float:  # what is worth least for its work goes first
+        def value(other: tuple[str, bool]) -> float:
+            worth = self._classes[other[0]].worth * (self._settings.over_share_worth if other[1] else 1)
+            return worth * self._seen[other] / self._asked[other]
+
+        above = sum(work for other, work in self._asked.items() if value(other) > value(part))
+        return (self._share * sum(self._asked.values()) - above) / self._asked[part]
+
+    def _cost(self, pending: Pending) -> float:
+        return pending.request.cost or self._expected(pending)  # no hint: the usual time stands for work
+
+    def _expected(self, pending: Pending) -> float:
+        """How long an answer to such a request usually takes, from any server."""
+        cost = pending.request.cost or 1
+        return self._usual.get(pending.kind.name, pending.kind.aim / 4 / cost) * cost
+
+    def _advance(self, pending: Pending, now: int) -> list[Action]:
+        actions = self._attempt(pending, now) or []
+        if actions or pending.out:
+            return actions
+        self._sign(False, now)
+        return self._answer(pending)
+
+    def _attempt(self, pending: Pending, now: int) -> list[Action]:
+        made = len(pending.attempts)
+        # A first try and its fallback are free; more from hundreds of balancers swamp what still works.
+        extra = made > 1 or bool(pending.out)
+        spent = now >= pending.deadline or made >= self._settings.max_attempts or self._spare < extra
+        host = None if spent or not self._may_repeat(pending, now) else self._choose(pending, now)
+        self._spare -= extra and host is not None
+        return self._send(pending, host, now) if host else []
+
+    def _answer(self, pending: Pending) -> list[Action]:
+        answer = Refuse if self._may_refuse(pending) else Fail
+        return [answer(pending.request.id), *self._settle(pending)]
+
+    def _send(self, pending: Pending, host: _Host, now: int) -> list[Action]:
+        token = f"{pending.request.id}:{len(pending.attempts)}"
+        pending.attempts.append(Attempt(host.info, now, host.breaker.start()))
+        host.in_flight += 1
+        host.allowance -= self._cost(pending)
+        late = max(1, round(LATE * self._expected(pending)))
+        return [Send(pending.request.id, host.info.id), SetTimer(late, token)]
+
+    def _choose(self, pending: Pending, now: int) -> _Host | None:
+        """Two random servers that admit: the less busy first, the other as its fallback."""
+        tried = {attempt.server.id for attempt in pending.attempts}
+        fallback = self._hosts.get(pending.fallback) if pending.fallback is not None else None
+        if fallback and fallback.info.id not in tried and self._admits(fallback, pending, now):
+            return fallback
+        drawn: list[_Host] = []
+        for host in self._candidates(pending.request.key):
+            if host not in drawn and host.info.id not in tried and self._admits(host, pending, now):
+                drawn.append(host)
+                if len(drawn) == 2:
+                    break
+        drawn.sort(key=lambda host: host.busy(now))
+        pending.fallback = drawn[1].info.id if len(drawn) > 1 else None
+        return drawn[0] if drawn else None
+
+    def _candidates(self, key: str | None) -> Iterator[_Host]:
+        """The servers in random order; where they warm to keys, as the hash of the key ranks them."""
+        if key is not None and self._settings.warm_keys:
+            yield from sorted(self._order, key=lambda host: _rank(key, host.info.id))
+        if self._settings.cross_zone_price > 0:  # stay while servers here have room to spare
+            here = [host for host in self._order if host.info.zone == self._settings.zone]
+            near = [host for host in here if 2 * host.in_flight < host.limit]
+            yield from self._shuffled(near) if len(near) > 1 else ()
+        yield from self._shuffled(self._order)
+        yield from self._spill
+
+    def _shuffled(self, hosts: list[_Host]) -> Iterator[_Host]:
+        """In random order, worked out only as far as it is asked for."""
+        for place in range(len(hosts)):
+            other = self._random.randrange(place, len(hosts))
+            hosts[place], hosts[other] = hosts[other], hosts[place]
+            yield hosts[place]
+
+    def _admits(self, host: _Host, pending: Pending, now: int) -> bool:
+        if (
+            host.in_flight >= int(host.limit)
+            or not host.breaker.admits(now)
+            or not self._in_group(host.info, pending)
+        ):
+            return False
+        if self._warmth(host, now) == 1:
+            return True
+        self._refill(host, self._cost(pending), now)
+        return host.allowance >= self._cost(pending)
+
+    def _may_repeat(self, pending: Pending, now: int) -> bool:
+        """Whether another attempt may start at all."""
+        if pending.out and not self._settings.may_hedge:
+            return False
+        first = pending.first_unsure
+        if first is None or pending.kind.effect is Effect.IDEMPOTENT:
+            return True
+        return pending.kind.effect is Effect.KEYED and now < first.sent + pending.kind.dedup_window
+
+    def _in_group(self, server: Server, pending: Pending) -> bool:
+        """A keyed request that may have run stays with the servers that drop its repeats."""
+        first = pending.first_unsure
+        if first is None or pending.kind.effect is not Effect.KEYED or pending.kind.scope is Scope.ALL:
+            return True
+        if pending.kind.scope is Scope.ZONE:
+            return server.zone == first.server.zone
+        return server.cell == first.server.cell
+
+    def _may_refuse(self, pending: Pending) -> bool:
+        """A refusal says that trying again is harmless."""
+        kind = pending.kind
+        if kind.effect is Effect.IDEMPOTENT or pending.first_unsure is None:
+            return True
+        return kind.effect is Effect.KEYED and kind.scope is Scope.ALL
+
+    def _on_end(self, event: AttemptEnded, now: int) -> list[Action]:
+        pending, attempt = self._find(event.request, event.attempt)
+        if pending is None or attempt is None:
+            return []
+        attempt.outcome = event.outcome
+        host = self._host_of(attempt)
+        if host is not None:
+            host.in_flight = max(0, host.in_flight - 1)
+            self._judge(host, pending, attempt, now)
+        if not event.answered and not pending.answered:
+            return self._advance(pending, now)
+        return self._settle(pending)
+
+    def _on_stream(self, event: StreamStarted, now: int) -> list[Action]:
+        """The attempt is the client's now; how long its stream lasts says nothing of its server."""
+        pending, attempt = self._find(event.request, event.attempt)
+        if pending is None or attempt is None:
+            return []
+        host = self._host_of(attempt)
+        if host is not None and not attempt.judged:
+            host.breaker.succeed(attempt.trial)
+        attempt.judged = attempt.streams = True
+        return self._settle(pending)
+
+    def _find(self, request: RequestId, number: int) -> tuple[Pending | None, Attempt | None]:
+        pending = self._pending.get(request)
+        known = pending.attempts[number : number + 1] if pending else []
+        return pending, known[0] if known else None
+
+    def _host_of(self, attempt: Attempt) -> _Host | None:  # none if it left or was restarted since
+        host = self._hosts.get(attempt.server.id)
+        return host if host is not None and host.info.started == attempt.server.started else None
+
+    def _judge(self, host: _Host, pending: Pending, attempt: Attempt, now: int) -> None:
+        if attempt.outcome is Outcome.OK and not attempt.streams:
+            taken = now - attempt.sent
+            host.paced, host.pace = now, host.pace + 0.2 * (taken / self._expected(pending) - host.pace)
+            name, cost = pending.kind.name, pending.request.cost or 1
+            usual = self._usual.setdefault(name, taken / cost)
+            self._usual[name] = max(1 / cost, usual * STEP if taken / cost > usual else usual / STEP)
+            self._count(host.info.kind, self._cost(pending), now)
+        if attempt.outcome in (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED):
+            self._sign(attempt.outcome is Outcome.OK and now - attempt.sent <= TARGET * pending.kind.aim, now)
+        if attempt.judged:
+            return  # its verdict is given
+        if attempt.outcome is Outcome.OK and now - pending.arrived <= TARGET * pending.kind.aim:
+            if 2 * host.in_flight >= host.limit - 2:
+                host.limit += min(host.limit, 1 / host.limit)
+        elif attempt.outcome is not Outcome.CANCELLED and attempt.sent >= host.cut:
+            # One stall delays all that is in flight: it is one sign, however many attempts it holds.
+            host.limit = max(1.0, host.limit * BACK_OFF)
+            host.cut = now
+        if attempt.outcome is Outcome.OK:
+            host.breaker.succeed(attempt.trial)
+        elif attempt.outcome in FAILURES:
+            self._fail(host, attempt, now)
+        elif attempt.trial:
+            host.breaker.abandon()
+
+    def _fail(self, host: _Host, attempt: Attempt, now: int) -> None:
+        """Count a failure, unless trouble is shared: breakers must not refuse work that the fleet can do."""
+        opened = sum(not other.breaker.closed for other in self._hosts.values())
+        if attempt.trial or opened < OPEN_SHARE * len(self._hosts):
+            host.breaker.fail(now, attempt.trial)
+
+    def _on_late(self, token: str, now: int) -> list[Action]:
+        """An attempt is out far longer than its like: a failure, as soon as it can be known."""
+        pending, attempt = self._find(*map(int, token.split(":")))
+        if pending is None or attempt is None or attempt.outcome is not None or attempt.judged:
+            return []
+        host = self._host_of(attempt)
+        if host is not None and now - attempt.sent >= LATE * self._expected(pending):
+            attempt.judged = True
+            self._fail(host, attempt, now)
+            if not pending.answered:  # the fallback starts beside it
+                return self._attempt(pending, now)
+        return []
+
+    def _settle(self, pending: Pending) -> list[Action]:
+        """Nothing more is owed: call off what is out, and forget the request once all has ended."""
+        first, pending.answered = not pending.answered, True
+        out = pending.out
+        if not out:
+            del self._pending[pending.request.id]
+        losers = [n for n in out if first and not pending.attempts[n].streams]
+        return [Cancel(pending.request.id, n) for n in losers] if self._settings.may_cancel else []
--- /dev/null
+++ b/whinrouter/interface.py
@@ -0,0 +1,306 @@
+"""The words the decision module speaks: settings, events and actions.
+
+Every time is a whole number of microseconds; a moment is a reading of whatever clock the host program uses,
+which never runs backwards. Ids are numbers of the host program's choice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+ServerId = int
+RequestId = int
+
+MS = 1_000
+SECOND = 1_000_000
+
+
+class Effect(Enum):
+    """What a repeat of a request does."""
+
+    IDEMPOTENT = "idempotent"  # safe to repeat
+    KEYED = "keyed"  # a group of servers drops repeats for a while
+    AT_MOST_ONCE = "at most once"  # must not run twice; also the reading of anything unknown
+
+
+class Scope(Enum):
+    """Which servers drop the repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"  # also the reading of anything unknown: the narrowest
+
+
+class State(Enum):
+    """What discovery says of a server."""
+
+    READY = "ready"
+    DRAINING = "draining"  # also the reading of anything unknown
+    GONE = "gone"
+
+
+class Update(Enum):
+    """What a `ServerList` holds."""
+
+    FULL = "full"  # every server there is
+    STALE = "stale"  # every server this balancer knew before it restarted
+    CHANGES = "changes"  # changed servers only
+    ERROR = "error"  # nothing: asking discovery failed, or a subscription broke
+
+
+class Outcome(Enum):
+    """How an attempt or a probe ended."""
+
+    OK = "ok"
+    ERROR = "error"  # the server answered with an error
+    REJECTED = "rejected"  # turned away unseen: full, or draining
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect failed"
+    RESET = "reset"  # the connection broke under the attempt
+    CANCELLED = "cancelled"  # withdrawn by the balancer
+    NOT_SENT = "not sent"
+    UNKNOWN = "unknown"  # anything else: it may have run
+
+    @property
+    def never_ran(self) -> bool:
+        """Whether this outcome proves that the server did nothing."""
+        return self in _NEVER_RAN
+
+
+_NEVER_RAN = frozenset({Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """One class of request."""
+
+    name: str
+    aim: int  # an answer within this time is worth the full worth
+    deadline: int  # a client waits no longer than this, all its tries together
+    effect: Effect = Effect.AT_MOST_ONCE
+    scope: Scope = Scope.CELL
+    dedup_window: int = 0  # how long a group remembers, from the first attempt that may have run
+    worth: float = 1.0
+    late_worth: float = 0.0
+
+    def __post_init__(self) -> None:
+        for key in ("aim", "deadline"):
+            if getattr(self, key) <= 0:
+                raise ValueError(f"{key} must be above 0 (class {self.name!r})")
+        if self.dedup_window < 0:
+            raise ValueError(f"dedup_window must not be below 0 (class {self.name!r})")
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a balancer is told at its start."""
+
+    classes: tuple[RequestClass, ...]
+    zone: str = ""
+    balancers: int = 1  # how many balancers send to the same servers
+    rank: int = 0  # the number of this one among them
+    max_attempts: int = 3
+    may_hedge: bool = False  # a second attempt may start while the first is out
+    may_cancel: bool = False
+    may_probe: bool = False
+    retry_after: bool = False  # clients are told how long to stay away
+    must_subscribe: bool = False  # discovery sends changes only when asked to
+    load_in_answers: bool = False
+    load_in_probes: bool = False
+    warm_keys: bool = False  # a server that has lately met a key does less work for it
+    cold_share: float = 1.0  # a server starts with at least this share of its capacity
+    ramp_time: int = 0  # and is warm after this at the latest
+    fall_multiple: float = 4.0  # sent more than this multiple of its present capacity
+    fall_time: int = SECOND  # for this long, a cold server falls over
+    cross_zone_price: float = 0.0
+    probe_price: float = 0.0
+    allowances: Mapping[str, float] = field(
+        default_factory=dict
+    )  # of each tenant at this balancer, per second
+    over_share_worth: float = 1.0  # what a request beyond its tenant's allowance is worth, as a part
+
+    def __post_init__(self) -> None:
+        if not self.classes:
+            raise ValueError("classes must name at least one class")
+        for key in ("balancers", "max_attempts"):
+            if getattr(self, key) < 1:
+                raise ValueError(f"{key} must be at least 1")
+        if not 0 < self.cold_share <= 1:
+            raise ValueError("cold_share must be above 0 and at most 1")
+        for key in ("fall_multiple", "fall_time"):
+            if getattr(self, key) <= 0:
+                raise ValueError(f"{key} must be above 0")
+        if self.ramp_time < 0:
+            raise ValueError("ramp_time must not be below 0")
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """One server as discovery describes it."""
+
+    id: ServerId
+    state: State = State.READY
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+    weight: float = 1.0
+    started: int = 0  # moment of its latest start; 0: long ago
+
+
+# Events
+
+
+class ServerList(NamedTuple):
+    """Discovery reports servers."""
+
+    update: Update
+    servers: tuple[Server, ...] = ()
+
+
+class Request(NamedTuple):
+    """A client asks; exactly one final answer is owed."""
+
+    id: RequestId
+    class_name: str
+    timeout: int  # the client leaves after this
+    cost: int = 0  # expected work, roughly; 0: not known
+    key: str | None = None
+    retry: bool = False  # a client's own repeat, where clients mark them
+    tenant: str = ""
+
+
+class StreamStarted(NamedTuple):
+    """The answer has begun to flow: this attempt is the client's now."""
+
+    request: RequestId
+    attempt: int
+    server: ServerId
+    latency: int
+
+
+class AttemptEnded(NamedTuple):
+    """An attempt is over; every `Send` gets exactly one."""
+
+    request: RequestId
+    attempt: int
+    server: ServerId
+    outcome: Outcome
+    latency: int
+    answered: bool  # the client has its final answer
+    load: dict[str, float] | None = None
+
+
+class RequestGone(NamedTuple):
+    """The client left: nothing is owed any more."""
+
+    request: RequestId
+
+
+class ProbeEnded(NamedTuple):
+    """A probe is over."""
+
+    server: ServerId
+    outcome: Outcome
+    latency: int
+    load: dict[str, float] | None = None
+
+
+class TimerFired(NamedTuple):
+    """A timer set earlier is due."""
+
+    token: str
+
+
+Event = ServerList | Request | StreamStarted | AttemptEnded | RequestGone | ProbeEnded | TimerFired
+
+# Actions
+
+
+class Send(NamedTuple):
+    """Start an attempt; attempts of a request count from 0 in the order of their sends."""
+
+    request: RequestId
+    server: ServerId
+    expires: int = 0  # moment at which to give the attempt up; 0: when the client does
+
+
+class Cancel(NamedTuple):
+    """Stop waiting for an attempt."""
+
+    request: RequestId
+    attempt: int
+
+
+class Refuse(NamedTuple):
+    """Final answer: turned away, and trying again is harmless."""
+
+    request: RequestId
+    retry_after: int = 0
+
+
+class Fail(NamedTuple):
+    """Final answer: failed, and nothing is promised."""
+
+    request: RequestId
+
+
+class Probe(NamedTuple):
+    """Ask a server how it does."""
+
+    server: ServerId
+
+
+class SetTimer(NamedTuple):
+    """Ask for a `TimerFired` after a delay."""
+
+    delay: int
+    token: str
+
+
+class Subscribe(NamedTuple):
+    """Ask discovery for its changes from now on."""
+
+
+Action = Send | Cancel | Refuse | Fail | Probe | SetTimer | Subscribe
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt of a request, as the balancer keeps it."""
+
+    server: Server
+    sent: int
+    trial: bool = False  # the half-open trial of its server
+    judged: bool = False  # its server has had the verdict while it was out
+    streams: bool = False  # the client's own since its answer began
+    outcome: Outcome | None = None  # None while it is out
+
+    @property
+    def may_have_run(self) -> bool:
+        return self.outcome is None or not self.outcome.never_ran
+
+
+@dataclass(slots=True)
+class Pending:
+    """A request the balancer still owes an answer, or whose attempts are still out."""
+
+    request: Request
+    kind: RequestClass
+    arrived: int
+    deadline: int
+    fallback: ServerId | None = None
+    attempts: list[Attempt] = field(default_factory=list)
+    answered: bool = False
+
+    @property
+    def out(self) -> list[int]:
+        """The numbers of the attempts that are out."""
+        return [number for number, attempt in enumerate(self.attempts) if attempt.outcome is None]
+
+    @property
+    def first_unsure(self) -> Attempt | None:
+        """The first attempt that may have run."""
+        return next((attempt for attempt in self.attempts if attempt.may_have_run), None)
