--- /dev/null
+++ b/whinrouter/__main__.py
@@ -0,0 +1,85 @@
+"""The gateway as a program: start, signals, exit."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+
+from whinrouter.balance import Balancer
+from whinrouter.net.config import Config, ConfigError, load
+from whinrouter.net.discovery import Discovery
+from whinrouter.net.frontend import Frontend
+from whinrouter.net.gateway import Gateway
+from whinrouter.net.upstream import Upstream
+
+log = logging.getLogger("whinrouter")
+
+RESERVED = 64  # descriptors for all that is no client's and no host's connection
+STILL_ACCEPTING = 0.5  # seconds for which connections go on coming after SIGTERM
+LAG_STEP, LAG_SHOWN = 0.1, 0.05
+
+
+async def serve(config: Config) -> None:
+    half = max(1, (config.sockets - RESERVED) // 2)
+    upstream = Upstream(config.connect_time, config.idle_time, half)
+    gateway = Gateway(Balancer(config.settings, config.seed), upstream)
+    gateway.list_hosts(config.known, stale=True)
+    frontend = Frontend(gateway, config.settings, half)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    discovery = Discovery(config.discovery, config.known.revision, gateway.list_hosts)
+    try:
+        await frontend.listen(*config.listen)
+    except OSError as error:
+        raise ConfigError(
+            f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}"
+        ) from None
+    tasks = [loop.create_task(discovery.run()), loop.create_task(_watch_lag())]
+    # What exists now stays: the collector need not look at it again, which would hold up the loop.
+    gc.collect()
+    gc.freeze()
+    log.info("%s listens on %s:%d", config.name, *config.listen)
+    await stop.wait()
+    log.info("stopping: %d requests held", gateway.holds)
+    frontend.stopping = True
+    await asyncio.sleep(STILL_ACCEPTING)
+    frontend.close()
+    while frontend.connections:  # each is closed with its answer, and each answer is due by its deadline
+        await asyncio.sleep(0.01)
+    for task in tasks:
+        task.cancel()
+
+
+async def _watch_lag() -> None:
+    """Say so when the loop runs late: every deadline is then met late."""
+    loop = asyncio.get_running_loop()
+    while True:
+        due = loop.time() + LAG_STEP
+        await asyncio.sleep(LAG_STEP)
+        if loop.time() - due > LAG_SHOWN:
+            log.warning("the loop runs %d ms late", (loop.time() - due) * 1000)
+
+
+def main() -> int:
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=logging.INFO,
+        format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
+        datefmt="%H:%M:%S",
+    )
+    try:
+        asyncio.run(serve(load(os.environ)))
+    except ConfigError as error:
+        print(f"whinrouter: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/whinrouter/net/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: real sockets round the decision module."""
--- /dev/null
+++ b/whinrouter/net/frontend.py
@@ -0,0 +1,177 @@
+"""Client connections: requests in, one answer each, and `/up`."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections import deque
+from http import HTTPStatus
+
+from whinrouter.interface import SECOND, RequestId, Settings
+from whinrouter.net.gateway import Answer, Asked, Gateway
+from whinrouter.net.http import BadMessageError, Message, RequestReader, write_answer
+
+log = logging.getLogger(__name__)
+
+MAX_QUEUED = 16  # requests that a client may send ahead on one connection
+
+
+class Frontend:
+    """The listener and its connections."""
+
+    def __init__(self, gateway: Gateway, settings: Settings, limit: int) -> None:
+        self.gateway = gateway
+        self._deadlines = {kind.name: kind.deadline for kind in settings.classes}
+        self._shortest = min(self._deadlines.values())
+        self.limit = limit  # connections at most
+        self.connections: dict[_Client, None] = {}  # the longest unused first
+        self.stopping = False
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _Client(self), host, port, backlog=512)
+
+    @property
+    def ready(self) -> bool:
+        return self.gateway.has_list and not self.stopping
+
+    def close(self) -> None:
+        """Take no new connection, and close those that are between requests."""
+        if self._server is not None:
+            self._server.close()
+        for client in list(self.connections):
+            client.close_if_idle()
+
+    def make_room(self) -> bool:
+        """Close the connection that has been without a request for longest: a client just opens another."""
+        return any(client.close_if_idle() for client in list(self.connections))
+
+    def asked(self, message: Message) -> Asked:
+        path = message.target.split(b"?", 1)[0].decode("latin-1")
+        class_name = message.get(b"x-class") or path.strip("/").split("/", 1)[0]
+        hint = message.get(b"x-cost-hint") or ""
+        return Asked(
+            message,
+            class_name,
+            self._timeout(message.get(b"x-deadline"), class_name),
+            int(hint) if hint.isascii() and hint.isdigit() else 0,
+            message.get(b"x-key"),
+            message.get(b"x-retry") == "1",
+            message.get(b"x-tenant") or "",
+        )
+
+    def _timeout(self, text: str | None, class_name: str) -> int:
+        """How long the client waits; its class's limit if it says nothing of use, or more than that."""
+        longest = self._deadlines.get(class_name, self._shortest)
+        try:
+            seconds = float(text or "")
+        except ValueError:
+            return longest
+        return min(longest, round(seconds * SECOND)) if math.isfinite(seconds) and seconds > 0 else longest
+
+
+class _Client(asyncio.Protocol):
+    """One client's connection; its requests are handled one after the other."""
+
+    def __init__(self, front: Frontend) -> None:
+        self._front = front
+        self._reader = RequestReader()
+        self._transport: asyncio.Transport | None = None
+        self._queued: deque[Message] = deque()
+        self._busy = False
+        self._request: RequestId | None = None
+        self._close = False
+        self._crowded = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        # Without this, descriptors would run out and connections to hosts would fail.
+        self._crowded = len(self._front.connections) >= self._front.limit and not self._front.make_room()
+        self._front.connections[self] = None
+
+    def data_received(self, data: bytes) -> None:
+        if self._close:
+            return
+        try:
+            self._queued.extend(self._reader.feed(data))
+        except BadMessageError as error:
+            self._reject(error.status)
+            return
+        if len(self._queued) > MAX_QUEUED:
+            self._reject(HTTPStatus.TOO_MANY_REQUESTS)
+        elif self._reader.waits_for_leave and not self._busy and self._transport is not None:
+            self._reader.waits_for_leave = False
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._next()
+
+    def _reject(self, status: HTTPStatus) -> None:
+        """Nothing that comes after this can be told apart any more; a request in work is still answered."""
+        self._queued.clear()
+        self._close = True
+        if not self._busy:
+            self._write(Answer(status))
+
+    def _next(self) -> None:
+        while self._queued and not self._busy:
+            message = self._queued.popleft()
+            self._busy = True
+            self._close = self._close or not message.keep_alive
+            try:
+                self._begin(message)
+            except Exception:
+                log.exception("failed on a request")
+                self._reply(Answer(HTTPStatus.INTERNAL_SERVER_ERROR))
+
+    def _begin(self, message: Message) -> None:
+        if message.target == b"/up" and message.method == b"GET":
+            self._reply(Answer(HTTPStatus.OK if self._front.ready else HTTPStatus.SERVICE_UNAVAILABLE))
+        elif message.method not in (b"GET", b"POST"):
+            self._close = True
+            self._reply(Answer(HTTPStatus.METHOD_NOT_ALLOWED))
+        elif not message.get(b"x-request-id"):
+            self._close = True
+            self._reply(Answer(HTTPStatus.BAD_REQUEST))
+        elif self._crowded:
+            self._close = True
+            self._reply(Answer(HTTPStatus.SERVICE_UNAVAILABLE))
+        else:
+            request = self._front.gateway.take(self._front.asked(message), self._reply)
+            if self._busy:  # it may have its answer already
+                self._request = request
+
+    def _reply(self, answer: Answer) -> None:
+        if not self._busy:
+            return
+        self._busy, self._request = False, None
+        self._close = self._close or self._front.stopping
+        self._write(answer)
+        self._front.connections.pop(self, None)
+        if not self._close:
+            self._front.connections[self] = None
+            if self._queued:
+                asyncio.get_running_loop().call_soon(self._next)
+
+    def _write(self, answer: Answer) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(write_answer(answer.status, answer.headers, answer.body, self._close))
+            if self._close:
+                self._transport.close()
+
+    def close_if_idle(self) -> bool:
+        idle = not self._busy and not self._queued and self._transport is not None
+        if idle and self._transport is not None:
+            self._close = True
+            self._transport.close()
+            self._front.connections.pop(self, None)
+        return idle
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._front.connections.pop(self, None)
+        request, self._request = self._request, None
+        self._busy, self._close = False, True
+        self._queued.clear()
+        if request is not None:
+            self._front.gateway.leave(request)
--- /dev/null
+++ b/whinrouter/net/upstream.py
@@ -0,0 +1,255 @@
+"""Connections to hosts, attempts on them, and how each attempt ended."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from whinrouter.interface import Outcome, ServerId, State
+from whinrouter.net.discovery import Member
+from whinrouter.net.http import BadMessageError, Message, ResponseReader, write_request
+
+log = logging.getLogger(__name__)
+
+IDLE_MARGIN = 2.0  # seconds before the host's own limit at which an idle connection is dropped
+
+Address = tuple[str, int]
+Ended = Callable[["Attempt", Outcome, Message | None], None]
+
+
+@dataclass(slots=True, eq=False)
+class _Host:
+    address: Address
+    ready: bool = True
+    idle: list[_Connection] = field(default_factory=list)  # the latest used last
+    connecting: set[Attempt] = field(default_factory=set)
+
+
+class Attempt:
+    """One sending of a request to a host; it ends exactly once."""
+
+    def __init__(self, host: _Host, request: Message, expires: float, ended: Ended) -> None:
+        self.host = host
+        self.expires = expires  # loop time
+        self._request = request
+        self._ended: Ended | None = ended
+        self.connection: _Connection | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def over(self) -> bool:
+        return self._ended is None
+
+    @property
+    def written(self) -> bool:
+        """Whether the host may have the last byte."""
+        return self.connection is not None and self.connection.written
+
+    def text(self, now: float) -> bytes:
+        left = max(0.0, self.expires - now)
+        return write_request(self._request, [(b"x-deadline", b"%.3f" % left)])
+
+    def end(self, outcome: Outcome, answer: Message | None = None) -> None:
+        ended, self._ended = self._ended, None
+        if ended is not None:
+            ended(self, outcome, answer)
+
+    def stop(self, outcome: Outcome) -> None:
+        """Give it up: it has this outcome, and the host sees its connection close."""
+        if self.over:
+            return
+        self.host.connecting.discard(self)
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.drop()
+        if self.task is not None:
+            self.task.cancel()
+        self.end(outcome)
+
+
+class _Connection(asyncio.Protocol):
+    """One connection to a host; carries one attempt at a time."""
+
+    def __init__(self, pool: Upstream, host: _Host) -> None:
+        self._pool = pool
+        self._host = host
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._reader = ResponseReader()
+        self._attempt: Attempt | None = None
+        self._expiry: asyncio.TimerHandle | None = None
+        self.idle_since = 0.0
+        self.written = False
+
+    @property
+    def usable(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        # It then tells whether any byte still waits: resume_writing means that the last one left.
+        transport.set_write_buffer_limits(high=0)
+        self._transport = transport
+
+    def carry(self, attempt: Attempt) -> None:
+        assert self._transport is not None
+        if self._expiry is not None:
+            self._expiry.cancel()
+            self._expiry = None
+        self._attempt, attempt.connection = attempt, self
+        self.written = True  # pause_writing takes it back at once if not all of it leaves
+        self._transport.write(attempt.text(self._loop.time()))
+        if self._transport.is_closing():  # the write failed outright: not one byte left
+            self.written = False
+
+    def pause_writing(self) -> None:
+        self.written = False
+
+    def resume_writing(self) -> None:
+        self.written = True
+
+    def data_received(self, data: bytes) -> None:
+        if self._attempt is None:  # bytes that nobody asked for would be taken for the next answer
+            self.drop()
+            return
+        try:
+            answers = self._reader.feed(data)
+        except BadMessageError as error:
+            log.warning("a host's answer is of no use: %s", error)
+            self._break()
+            return
+        if answers:
+            self._answered(answers[0], self.written and len(answers) == 1)
+
+    def _answered(self, answer: Message, clean: bool) -> None:
+        attempt, self._attempt = self._attempt, None
+        assert attempt is not None
+        attempt.connection = None
+        if answer.keep_alive and clean and self._host.ready and self.usable:
+            self._rest()
+        else:
+            self.drop()
+        attempt.end(_outcome(answer), answer)
+
+    def _rest(self) -> None:
+        """Idle until the next attempt, but not until the host closes it: a request could cross that."""
+        self.idle_since = self._loop.time()
+        self._expiry = self._loop.call_later(self._pool.idle_time, self.drop)
+        self._host.idle.append(self)
+
+    def eof_received(self) -> None:
+        self._break()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._pool.open -= 1
+        self._break()
+
+    def _break(self) -> None:
+        attempt, self._attempt = self._attempt, None
+        written = self.written
+        self.drop()
+        if attempt is not None:
+            attempt.connection = None
+            # With request bytes still here the host cannot have begun; after the last one it may have.
+            attempt.end(Outcome.RESET if written else Outcome.CONNECT_FAILED)
+
+    def drop(self) -> None:
+        self._attempt = None
+        if self._expiry is not None:
+            self._expiry.cancel()
+            self._expiry = None
+        if self in self._host.idle:
+            self._host.idle.remove(self)
+        if self._transport is not None:
+            self._transport.abort()
+
+
+def _outcome(answer: Message) -> Outcome:
+    if answer.status == 200:
+        return Outcome.OK
+    # Only the host's own word proves that it did nothing: a 503 may as well come after the work.
+    if answer.status in (503, 504) and answer.get(b"x-not-run") == "1":
+        return Outcome.REJECTED
+    return Outcome.ERROR
+
+
+class Upstream:
+    """The hosts, and the connections to them."""
+
+    def __init__(self, connect_time: float, idle_time: float, limit: int) -> None:
+        self._connect_time = connect_time
+        self.idle_time = max(idle_time / 2, idle_time - IDLE_MARGIN)
+        self._limit = limit  # connections at most
+        self.open = 0
+        self._hosts: dict[ServerId, _Host] = {}
+
+    def update(self, members: Iterable[Member], complete: bool) -> None:
+        """Follow the list; a host that drains or left gets nothing more, from this moment on."""
+        named = {member.server.id: member for member in members}
+        if complete:
+            for server in [server for server in self._hosts if server not in named]:
+                self._leave(server)
+        for server, member in named.items():
+            known = self._hosts.get(server)
+            if known is not None and (
+                known.address != member.address or member.server.state is not State.READY
+            ):
+                self._leave(server)
+            if member.server.state is State.READY and server not in self._hosts:
+                self._hosts[server] = _Host(member.address)
+
+    def _leave(self, server: ServerId) -> None:
+        host = self._hosts.pop(server)
+        host.ready = False
+        for connection in list(host.idle):
+            connection.drop()
+        for attempt in list(host.connecting):
+            attempt.stop(Outcome.NOT_SENT)
+
+    def send(self, server: ServerId, request: Message, expires: float, ended: Ended) -> Attempt | None:
+        """Start an attempt; None if the host may not be sent to. It may end before this returns."""
+        host = self._hosts.get(server)
+        if host is None:
+            return None
+        attempt = Attempt(host, request, expires, ended)
+        while host.idle:
+            connection = host.idle.pop()
+            if connection.usable:
+                connection.carry(attempt)
+                return attempt
+        if self.open >= self._limit and not self._make_room():
+            log.warning("no descriptor is left for another connection")
+            return None
+        self.open += 1
+        host.connecting.add(attempt)
+        attempt.task = asyncio.get_running_loop().create_task(self._connect(host, attempt))
+        return attempt
+
+    def _make_room(self) -> bool:
+        idle = [connection for host in self._hosts.values() for connection in host.idle]
+        if idle:
+            min(idle, key=lambda connection: connection.idle_since).drop()
+        return bool(idle)
+
+    async def _connect(self, host: _Host, attempt: Attempt) -> None:
+        connection = None
+        try:
+            async with asyncio.timeout(self._connect_time):
+                _, connection = await asyncio.get_running_loop().create_connection(
+                    lambda: _Connection(self, host), *host.address
+                )
+        except (OSError, TimeoutError):
+            host.connecting.discard(attempt)
+            attempt.end(Outcome.CONNECT_FAILED)
+            return
+        finally:
+            attempt.task = None
+            if connection is None:
+                self.open -= 1
+        host.connecting.discard(attempt)
+        if attempt.over:
+            connection.drop()
+        else:
+            connection.carry(attempt)
