Answer what has begun to come at the end, and let no unread answer pile up

Connections now stay on the books until they are lost; the exit waits for them, bounded by the longest deadline. - a client that sends ahead and never reads made answers pile up in memory; the next request now waits for the write buffer. - a host that restarted in place kept its old connections in the pool; where the machine had vanished no reset comes, and its first requests would have been lost on them. - the deadline of an unknown class was cut to the shortest class's; it is believed up to the longest. Each has a test on loopback sockets.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from tests.peers import listing, peers, request_text, resets, running, says, scenario, silent, until
@@ -118,3 +120,42 @@
         senseless = {"X-Cost-Hint": "much", "X-Retry": "no"}
         asked = proxy.frontend.asked(RequestReader().feed(request_text(headers=senseless))[0])
         assert (asked.cost, asked.retry) == (0, False)
+
+
+@scenario
+async def test_answers_that_a_client_does_not_read_do_not_pile_up() -> None:
+    async with peers(says(body=bytes(60_000))) as (host,), running(host.member()) as proxy:
+        client = await proxy.client()
+        client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        sent = 0
+        while sent < len(host.requests) + 12 and sent < 1000:
+            client.writer.write(request_text())
+            sent += 1
+            await asyncio.sleep(0.005)
+        assert sent < 1000  # the gateway stopped taking them in
+        client.close()
+
+
+@scenario
+async def test_a_request_that_has_begun_to_come_is_still_answered_at_the_end() -> None:
+    async with peers(says()) as (host,), running(host.member()) as proxy:
+        client = await proxy.client()
+        text = request_text()
+        client.writer.write(text[:30])
+        await until(lambda: any(other._reader.began for other in proxy.frontend.connections))
+        proxy.frontend.stopping = True
+        proxy.frontend.close()
+        client.writer.write(text[30:])
+        answer = await client.answer()
+        assert (answer.status, answer.keep_alive) == (200, False)
+
+
+@scenario
+async def test_the_deadline_of_an_unknown_class_is_believed_up_to_the_longest() -> None:
+    async with running() as proxy:
+
+        def timeout(deadline: str) -> int:
+            text = request_text("coupon", {"X-Deadline": deadline})
+            return proxy.frontend.asked(RequestReader().feed(text)[0]).timeout
+
+        assert [timeout(text) for text in ("1.8", "9", "")] == [1800 * MS, 2000 * MS, 1500 * MS]
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -197,6 +197,17 @@
         assert not host.requests
 
 
+@scenario
+async def test_a_restarted_host_gets_a_new_connection() -> None:
+    async with peers(says()) as (host,):
+        sender = Sender(host.port)
+        await sender.outcome()
+        member = Member(Server(HOST, started=5), ("127.0.0.1", host.port))
+        sender.upstream.update([member], complete=False)
+        assert await sender.outcome() is Outcome.OK
+        assert host.connections == 2
+
+
 @scenario
 async def test_what_a_draining_host_still_works_on_is_waited_for() -> None:
     async with peers(silent) as (host,):
--- a/whinrouter/__main__.py
+++ b/whinrouter/__main__.py
@@ -10,6 +10,7 @@
 import sys
 
 from whinrouter.balance import Balancer
+from whinrouter.interface import SECOND
 from whinrouter.net.config import Config, ConfigError, load
 from whinrouter.net.discovery import Discovery
 from whinrouter.net.frontend import Frontend
@@ -50,12 +51,21 @@
     frontend.stopping = True
     await asyncio.sleep(STILL_ACCEPTING)
     frontend.close()
-    while frontend.connections:  # each is closed with its answer, and each answer is due by its deadline
-        await asyncio.sleep(0.01)
+    await _until_answered(frontend, max(kind.deadline for kind in config.settings.classes) / SECOND)
     for task in tasks:
         task.cancel()
 
 
+async def _until_answered(frontend: Frontend, longest: float) -> None:
+    """Each connection closes with its answer; one who doesn't read must not hold up the exit."""
+    try:
+        async with asyncio.timeout(longest):
+            while frontend.connections:
+                await asyncio.sleep(0.01)
+    except TimeoutError:
+        log.warning("%d connections were still open at the exit", len(frontend.connections))
+
+
 async def _watch_lag() -> None:
     """Say so when the loop runs late: every deadline is then met late."""
     loop = asyncio.get_running_loop()
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -23,7 +23,8 @@
     def __init__(self, gateway: Gateway, settings: Settings, limit: int) -> None:
         self.gateway = gateway
         self._deadlines = {kind.name: kind.deadline for kind in settings.classes}
-        self._shortest = min(self._deadlines.values())
+        # For a class that was never announced: what to assume, and what to believe at most.
+        self._shortest, self._longest = min(self._deadlines.values()), max(self._deadlines.values())
         self.limit = limit  # connections at most
         self.connections: dict[_Client, None] = {}  # the longest unused first
         self.stopping = False
@@ -66,12 +67,14 @@
 
     def _timeout(self, text: str | None, class_name: str) -> int:
         """How long the client waits; its class's limit if it says nothing of use, or more than that."""
-        longest = self._deadlines.get(class_name, self._shortest)
+        assumed = self._deadlines.get(class_name, self._shortest)
         try:
             seconds = float(text or "")
         except ValueError:
-            return longest
-        return min(longest, round(seconds * SECOND)) if math.isfinite(seconds) and seconds > 0 else longest
+            return assumed
+        if not math.isfinite(seconds) or seconds <= 0:
+            return assumed
+        return min(round(seconds * SECOND), self._deadlines.get(class_name, self._longest))
 
 
 class _Client(asyncio.Protocol):
@@ -86,6 +89,7 @@
         self._request: RequestId | None = None
         self._close = False
         self._crowded = False
+        self._unread = False  # the client does not take what was written to it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -117,7 +121,7 @@
             self._write(Answer(status))
 
     def _next(self) -> None:
-        while self._queued and not self._busy:
+        while self._queued and not self._busy and not self._unread:
             message = self._queued.popleft()
             self._busy = True
             self._close = self._close or not message.keep_alive
@@ -144,17 +148,24 @@
             if self._busy:  # it may have its answer already
                 self._request = request
 
+    def pause_writing(self) -> None:
+        """Answers nobody reads must not pile up: the next request waits."""
+        self._unread = True
+
+    def resume_writing(self) -> None:
+        self._unread = False
+        self._next()
+
     def _reply(self, answer: Answer) -> None:
         if not self._busy:
             return
         self._busy, self._request = False, None
         self._close = self._close or self._front.stopping
         self._write(answer)
-        self._front.connections.pop(self, None)
-        if not self._close:
-            self._front.connections[self] = None
-            if self._queued:
-                asyncio.get_running_loop().call_soon(self._next)
+        if self._front.connections.pop(self, True) is None:
+            self._front.connections[self] = None  # now the latest used
+        if self._queued:
+            asyncio.get_running_loop().call_soon(self._next)
 
     def _write(self, answer: Answer) -> None:
         if self._transport is not None and not self._transport.is_closing():
@@ -163,12 +174,12 @@
                 self._transport.close()
 
     def close_if_idle(self) -> bool:
-        idle = not self._busy and not self._queued and self._transport is not None
-        if idle and self._transport is not None:
-            self._close = True
-            self._transport.close()
-            self._front.connections.pop(self, None)
-        return idle
+        """Close it if it is between requests; one that has begun to come is still taken."""
+        if self._busy or self._queued or self._close or self._reader.began or self._transport is None:
+            return False
+        self._close = True
+        self._transport.close()
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._front.connections.pop(self, None)
--- a/whinrouter/net/http.py
+++ b/whinrouter/net/http.py
@@ -68,6 +68,11 @@
         self._size = 0
         self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser
 
+    @property
+    def began(self) -> bool:
+        """Whether a part of a message has come."""
+        return self._size > 0
+
     def feed(self, data: bytes) -> list[Message]:
         """Take what came in; return the messages that are now whole."""
         self.messages = []
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -15,13 +15,12 @@
 
 IDLE_MARGIN = 2.0  # seconds before the host's own limit at which an idle connection is dropped
 
-Address = tuple[str, int]
 Ended = Callable[["Attempt", Outcome, Message | None], None]
 
 
 @dataclass(slots=True, eq=False)
 class _Host:
-    address: Address
+    member: Member
     ready: bool = True
     idle: list[_Connection] = field(default_factory=list)  # the latest used last
     connecting: set[Attempt] = field(default_factory=set)
@@ -200,12 +199,15 @@
                 self._leave(server)
         for server, member in named.items():
             known = self._hosts.get(server)
+            # After a restart the old connections lead nowhere, even if no reset ever came over them.
             if known is not None and (
-                known.address != member.address or member.server.state is not State.READY
+                member.server.state is not State.READY
+                or (known.member.address, known.member.server.started)
+                != (member.address, member.server.started)
             ):
                 self._leave(server)
             if member.server.state is State.READY and server not in self._hosts:
-                self._hosts[server] = _Host(member.address)
+                self._hosts[server] = _Host(member)
 
     def _leave(self, server: ServerId) -> None:
         host = self._hosts.pop(server)
@@ -245,7 +247,7 @@
         try:
             async with asyncio.timeout(self._connect_time):
                 _, connection = await asyncio.get_running_loop().create_connection(
-                    lambda: _Connection(self, host), *host.address
+                    lambda: _Connection(self, host), *host.member.address
                 )
         except (OSError, TimeoutError):
             return  # without a connection, the attempt ends as one that could not connect
