Let a rejected client read its answer, and end requests that never come whole

Seen by a small probe: a client still sending 8 MB when the 413 came got a reset in its place. Cause: frontend _write closed at once, and closing with bytes unread resets the connection; now it ends its own side and lingers for 1 s, discarding. Also, a client that began a request and stopped kept its descriptor for good; after 10 s it gets 408. Tests for both, which fail without the change.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
 import pytest
 
 from tests.peers import (
@@ -17,6 +19,7 @@
     until,
 )
 from whinrouter.interface import MS
+from whinrouter.net import frontend
 from whinrouter.net.http import RequestReader
 
 
@@ -44,6 +47,41 @@
         assert len(host.requests) == 1
 
 
+@scenario
+async def test_a_client_still_sending_too_much_gets_its_answer() -> None:
+    async with running() as proxy:
+        client = await proxy.client()
+        client.writer.write(b"POST /a HTTP/1.1\r\nContent-Length: 8000000\r\n\r\n" + bytes(8_000_000))
+        await client.writer.drain()
+        assert (await client.answer()).status == 413
+        assert await client.rest() == b""
+
+
+@scenario
+async def test_a_request_that_never_ends_is_not_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontend, "RECEIVE_TIME", 0.2)
+    async with peers(says()) as (host,), running(host.member()) as proxy:
+        client = await proxy.client()
+        assert (await client.ask()).status == 200
+        client.writer.write(request_text()[:30])
+        assert (await client.answer()).status == 408
+        assert await client.rest() == b""
+
+
+@scenario
+async def test_a_rejected_request_has_one_answer() -> None:
+    """Its time to arrive may run out while the connection lingers."""
+    async with running() as proxy:
+        client = await proxy.client()
+        client.writer.write(b"POST /a HTTP/1.1\r\n")
+        await until(lambda: any(other._reader.began for other in proxy.frontend.connections))
+        (connection,) = proxy.frontend.connections
+        client.writer.write(b"nonsense\r\n\r\n")
+        assert (await client.answer()).status == 400
+        connection._reject(HTTPStatus.REQUEST_TIMEOUT)
+        assert await client.rest() == b""
+
+
 @pytest.mark.parametrize("deadline", ["", "soon", "-1", "nan", "inf", "0", "1e9"])
 @scenario
 async def test_a_deadline_of_no_use_falls_back_to_the_class_s(deadline: str) -> None:
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -15,6 +15,8 @@
 log = logging.getLogger(__name__)
 
 MAX_QUEUED = 16  # requests that a client may send ahead on one connection
+RECEIVE_TIME = 10.0  # seconds within which a request that has begun must be whole
+LINGER = 1.0  # seconds for which a client may go on sending what was rejected
 
 
 class Frontend:
@@ -90,6 +92,8 @@
         self._close = False
         self._crowded = False
         self._unread = False  # the client does not take what was written to it
+        self._rejected = False
+        self._patience: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -111,12 +115,24 @@
         elif self._reader.waits_for_leave and not self._busy and self._transport is not None:
             self._reader.waits_for_leave = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._limit_receiving()
         self._next()
 
+    def _limit_receiving(self) -> None:
+        """Clients that begin requests and never end them would hold all descriptors."""
+        if self._reader.began and self._patience is None:
+            loop = asyncio.get_running_loop()
+            self._patience = loop.call_later(RECEIVE_TIME, self._reject, HTTPStatus.REQUEST_TIMEOUT)
+        elif not self._reader.began and self._patience is not None:
+            self._patience.cancel()
+            self._patience = None
+
     def _reject(self, status: HTTPStatus) -> None:
         """Nothing that comes after this can be told apart any more; a request in work is still answered."""
+        if self._rejected:
+            return
         self._queued.clear()
-        self._close = True
+        self._close = self._rejected = True
         if not self._busy:
             self._write(Answer(status))
 
@@ -170,7 +186,11 @@
     def _write(self, answer: Answer) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(write_answer(answer.status, answer.headers, answer.body, self._close))
-            if self._close:
+            if self._rejected:
+                # To close with bytes unread would reset the connection, and could take this answer with it.
+                self._transport.write_eof()
+                asyncio.get_running_loop().call_later(LINGER, self._transport.close)
+            elif self._close:
                 self._transport.close()
 
     def close_if_idle(self) -> bool:
@@ -183,6 +203,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._front.connections.pop(self, None)
+        if self._patience is not None:
+            self._patience.cancel()
         request, self._request = self._request, None
         self._busy, self._close = False, True
         self._queued.clear()
