Let no attempt leave once its request is answered

Seen in a loopback test: an attempt still connecting when its request was refused went out when its connection came up. Checked: the module calls off what is out only where the settings allow cancels, and Upstream.send's check is made before the connecting begins, not after. Cause: gateway _answer left connecting attempts alone. _forget now ends every unwritten attempt of a request that is over, after the module's own cancels.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -244,10 +244,12 @@
         client = await proxy.client()
         assert (await client.ask()).status == 503
         await until(lambda: not proxy.gateway._held)
-        assert len(host.requests) == 1
-        assert ends == [Outcome.NOT_SENT, Outcome.OK]
+        # The first was still connecting, and the second had not begun.
+        assert ends == [Outcome.NOT_SENT, Outcome.CANCELLED]
         proxy.frontend.close()
         assert await client.rest() == b""
+        await until(lambda: proxy.upstream.open == 0)
+        assert not host.requests
 
 
 @scenario
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -150,6 +150,10 @@
         try:
             for action in self._balancer.handle(event, self._clock.now()):
                 self._do(action)
+            if isinstance(event, Request):
+                self._forget(event.id)
+            elif isinstance(event, AttemptEnded):
+                self._forget(event.request)
         except Exception:
             # One request must not end the process, nor be left without an answer.
             log.exception("failed on %s", type(event).__name__)
@@ -214,11 +218,16 @@
         if held is not None and held.reply is not None:
             reply, held.reply = held.reply, None
             reply(answer)
-            self._forget(request)
 
     def _forget(self, request: RequestId) -> None:
+        """Nothing more may leave for a request that is over; once all attempts have ended, drop it."""
         held = self._held.get(request)
-        if held is not None and held.reply is None and all(sent.over for sent in held.sent):
+        if held is None or held.reply is not None:
+            return
+        for sent in held.sent:
+            if sent.attempt is not None and not sent.attempt.written:  # its connection may yet come up
+                sent.attempt.stop(Outcome.CANCELLED)
+        if request in self._held and all(sent.over for sent in held.sent):
             if held.timer is not None:
                 held.timer.cancel()
             del self._held[request]
@@ -248,6 +257,7 @@
         for sent in held.sent:
             if sent.attempt is not None:
                 sent.attempt.stop(Outcome.CANCELLED)
+        self._forget(request)
 
 
 def _time_out(attempt: Attempt) -> None:
