Mend three faults of rare connections

Found by reading, each then shown by a loopback test that fails without its mend: - upstream: a host's answer with the start of another behind it left its connection in the pool (only whole messages counted as stray), and the next request would have been served with what no host made for it. The reader now says whether a message has begun. - upstream _connect: a connection reset before its task had its turn was given the attempt all the same, and never reported its loss again: the attempt hung until the deadline. It now ends as one that could not connect. - discovery run: an unforeseen exception ended the watch for good, and drains would have gone unnoticed. It is logged and the watch begun anew.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -114,6 +114,26 @@
         await until(lambda: lists)
 
 
+@scenario
+async def test_a_fault_does_not_end_the_watching(monkeypatch: pytest.MonkeyPatch) -> None:
+    class Faulty(discovery._Watching):
+        def connection_made(self, transport: asyncio.BaseTransport) -> None:
+            super().connection_made(transport)
+            if not faults:
+                faults.append(1)
+                self.over.set_exception(RuntimeError("a fault of this test"))
+
+    faults: list[int] = []
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + chunk(line(42)))
+
+    monkeypatch.setattr(discovery, "_Watching", Faulty)
+    async with peers(script) as (service,), watching(service) as lists:
+        await until(lambda: lists)
+        assert faults
+
+
 def test_an_entry_in_the_module_s_words() -> None:
     entry = {
         "id": "s-5be2a07c",
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from typing import Any
 
 import pytest
 
@@ -201,6 +202,46 @@
         assert host.connections == 2
 
 
+@scenario
+async def test_the_start_of_another_answer_spoils_a_connection() -> None:
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        text = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+        writer.write(text + (b"page" + text if len(host.requests) == 1 else b"next"))
+
+    async with peers(script) as (host,):
+        sender = Sender(host.port)
+        await sender.outcome()
+        assert await sender.outcome() is Outcome.OK
+        answer = sender.ends[-1][1]
+        assert answer is not None
+        assert answer.body == b"next"
+        assert host.connections == 2
+
+
+@scenario
+async def test_a_connection_reset_as_soon_as_it_is_up_could_not_connect(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def accept_and_reset(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        reset(writer)
+
+    server = await asyncio.start_server(accept_and_reset, "127.0.0.1", 0)
+    sender = Sender(server.sockets[0].getsockname()[1])
+    loop = asyncio.get_running_loop()
+    connect = loop.create_connection
+
+    async def late(*args: Any) -> Any:
+        """The reset is there before whoever waits for the connection has its turn."""
+        made = await connect(*args)
+        await until(lambda: sender.upstream.connections == 0)
+        return made
+
+    monkeypatch.setattr(loop, "create_connection", late)
+    assert await sender.outcome() is Outcome.CONNECT_FAILED
+    assert sender.upstream.open == 0
+    server.close()
+
+
 @scenario
 async def test_an_answer_that_says_close_ends_its_connection() -> None:
     async with peers(says(Connection="close")) as (host,):
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -141,7 +141,10 @@
 
     async def run(self) -> None:
         while True:
-            log.info("discovery: %s; asking again", await self._watch())
+            try:
+                log.info("discovery: %s; asking again", await self._watch())
+            except Exception:  # without a watch, hosts that drain would go unnoticed for good
+                log.exception("discovery: failed; asking again")
             # Jittered, so that gateways which lost discovery together do not all come back at once.
             await asyncio.sleep(self._pause * self._random.uniform(0.5, 1))
             self._pause = min(2 * self._pause, LONGEST_PAUSE)
--- a/whinrouter/net/http.py
+++ b/whinrouter/net/http.py
@@ -65,14 +65,10 @@
         self.waits_for_leave = False  # the peer asked for 100 Continue before it sends the body
         self._message = Message()
         self._body = bytearray()
+        self.began = False  # a part of a message has come
         self._size = 0
         self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser
 
-    @property
-    def began(self) -> bool:
-        """Whether a part of a message has come."""
-        return self._size > 0
-
     def feed(self, data: bytes) -> list[Message]:
         """Take what came in; return the messages that are now whole."""
         self.messages = []
@@ -92,6 +88,7 @@
         return self.messages
 
     def on_message_begin(self) -> None:
+        self.began = True
         self._message = Message()
         self._body = bytearray()
 
@@ -116,6 +113,7 @@
         self._message.body = bytes(self._body)
         self._message.keep_alive = self._parser.should_keep_alive()
         self.waits_for_leave = False
+        self.began = False
         self._size = 0
         self.messages.append(self._message)
 
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -121,7 +121,8 @@
             self._break()
             return
         if answers:
-            self._answered(answers[0], self.written and len(answers) == 1)
+            # What follows an answer, even the start of another, would be taken for the next one.
+            self._answered(answers[0], self.written and len(answers) == 1 and not self._reader.began)
 
     def _answered(self, answer: Message, clean: bool) -> None:
         attempt, self._attempt = self._attempt, None
@@ -254,7 +255,7 @@
         host.connecting.discard(attempt)
         if attempt.over:
             connection.drop()
-        else:
+        elif connection.usable:  # one reset as soon as it was up would never report that it is lost
             connection.carry(attempt)
 
     def _connected(self, host: _Host, attempt: Attempt) -> None:
