Reload on SIGHUP

Cause: __main__.py set handlers for SIGTERM and SIGINT alone, and the default action of SIGHUP ends the process. Ruled out that a handler alone would do: config.load let PROXY_DISCOVERY, which the deployment sets, go before the file, so that the reload would have found the old address again (the new test sets the variable); and the old revision would have been asked of a service that does not know it. Mended: config.reload reads the file without that variable; Discovery.move watches the new service from revision 0 while the list in hand stays in force; a file that is no good is logged and changes nothing; what a reload does not change is said.

--- a/.ci/start.py
+++ b/.ci/start.py
@@ -1,4 +1,4 @@
-"""Starts the gateway by the deploy file's command, against a stub of discovery, until `/up` answers 200."""
+"""Starts the gateway by the deploy file's command against a stub of discovery, and sends it its signals."""
 
 from __future__ import annotations
 
@@ -25,6 +25,8 @@
     protocol_version = "HTTP/1.1"
 
     def do_GET(self) -> None:
+        assert isinstance(self.server, Service)
+        self.server.asked.set()
         told = json.dumps({"revision": 1, "complete": True, "members": [HOST]}).encode() + b"\n"
         self.send_response(200)
         self.send_header("Transfer-Encoding", "chunked")
@@ -36,6 +38,16 @@
         pass
 
 
+class Service(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def __init__(self) -> None:
+        super().__init__(("127.0.0.1", 0), Stub)
+        self.asked = threading.Event()
+        self.address = f"127.0.0.1:{self.server_address[1]}"
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+
 def free_address() -> str:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -51,13 +63,15 @@
 
 
 def main() -> int:
-    stub = ThreadingHTTPServer(("127.0.0.1", 0), Stub)
-    stub.daemon_threads = True
-    threading.Thread(target=stub.serve_forever, daemon=True).start()
-    address, discovery = free_address(), f"127.0.0.1:{stub.server_address[1]}"
+    address, discovery, other = free_address(), Service(), Service()
     with tempfile.TemporaryDirectory() as folder:
         config = Path(folder) / "config.json"
-        told = {"listen": address, "discovery": discovery, "seed": "1", "settings": {"classes": [CLASS]}}
+        told = {
+            "listen": address,
+            "discovery": discovery.address,
+            "seed": "1",
+            "settings": {"classes": [CLASS]},
+        }
         config.write_text(json.dumps(told))
         environment = {**os.environ, "PROXY_CONFIG": str(config), "PROXY_NAME": "n0"}
         gateway = subprocess.Popen(["/bin/sh", "-c", sys.argv[1]], env=environment)
@@ -68,6 +82,12 @@
                     print("the gateway did not come up", file=sys.stderr)
                     return 1
                 time.sleep(0.05)
+            told["discovery"] = other.address
+            config.write_text(json.dumps(told))
+            gateway.send_signal(signal.SIGHUP)
+            if not other.asked.wait(GENEROUS) or not is_up(address):
+                print("the gateway did not take its new configuration", file=sys.stderr)
+                return 1
             gateway.send_signal(signal.SIGTERM)
             return gateway.wait(GENEROUS)
         finally:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -29,11 +29,12 @@
 @asynccontextmanager
 async def watching(service: Peer, revision: int = 0) -> AsyncIterator[list[HostList]]:
     lists: list[HostList] = []
-    task = asyncio.create_task(Discovery(("127.0.0.1", service.port), revision, lists.append).run())
+    watch = Discovery(("127.0.0.1", service.port), revision, lists.append)
+    watch.start()
     try:
         yield lists
     finally:
-        task.cancel()
+        watch.stop()
 
 
 async def _says_nothing(request: Message, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -53,12 +53,19 @@
     }
 
 
-@asynccontextmanager
-async def program(folder: Path, config: object) -> AsyncIterator[asyncio.subprocess.Process]:
+def write(folder: Path, config: object) -> Path:
     path = folder / "config.json"
     path.write_bytes(config if isinstance(config, bytes) else orjson.dumps(config))
+    return path
+
+
+@asynccontextmanager
+async def program(
+    folder: Path, config: object, **variables: str
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    environment = {"PROXY_CONFIG": str(write(folder, config)), **variables}
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "whinrouter", env={"PROXY_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE
+        sys.executable, "-m", "whinrouter", env=environment, stderr=asyncio.subprocess.PIPE
     )
     try:
         yield process
@@ -68,13 +75,18 @@
         await process.wait()
 
 
-async def port_of(process: asyncio.subprocess.Process) -> int:
+async def logged(process: asyncio.subprocess.Process, words: str) -> str:
+    """The next line of its log with these words."""
     assert process.stderr is not None
     async with asyncio.timeout(GENEROUS):
         while text := (await process.stderr.readline()).decode():
-            if "listens on" in text:
-                return int(text.rsplit(":", 1)[1])
-    raise AssertionError("it did not start")
+            if words in text:
+                return text
+    raise AssertionError(f"it ended and did not say {words!r}")
+
+
+async def port_of(process: asyncio.subprocess.Process) -> int:
+    return int((await logged(process, "listens on")).rsplit(":", 1)[1])
 
 
 async def is_up(port: int) -> int:
@@ -156,6 +168,65 @@
                 await asyncio.sleep(0.01)
 
 
+@scenario
+async def test_sighup_moves_the_watch_to_the_discovery_of_the_new_file(tmp_path: Path) -> None:
+    """The old list serves until the new service tells its whole list, though a variable named the old one."""
+    async with peers(says(body=b"known"), says(body=b"told"), _watch) as (known, fresh, old):
+
+        async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+            writer.write(HEAD)
+
+        async with (
+            peers(script) as (new,),
+            program(tmp_path, told(1, known.entry()), PROXY_DISCOVERY=f"127.0.0.1:{old.port}") as process,
+        ):
+            client = await Client.connect(await port_of(process))
+            await until(lambda: old.requests)
+            write(tmp_path, told(new.port, known.entry(), seed="other"))
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: new.requests and old.closed)
+            assert new.requests[0].target.endswith(b"from=0")
+            assert (await client.ask()).body == b"known"
+            new.writers[-1].write(chunk(line(3, fresh.entry(id="s-9"))))
+            async with asyncio.timeout(GENEROUS):
+                while (await client.ask()).body != b"told":
+                    await asyncio.sleep(0.01)
+            process.send_signal(signal.SIGHUP)  # nothing is new
+            process.send_signal(signal.SIGTERM)
+            await logged(process, "stopping")
+            process.send_signal(signal.SIGHUP)
+            assert await process.wait() == 0
+            assert len(new.requests) == 1
+
+
+@pytest.mark.parametrize("config", [b"{", {"listen": "nowhere"}, None])
+@scenario
+async def test_sighup_with_a_bad_file_changes_nothing(tmp_path: Path, config: object) -> None:
+    async with (
+        peers(says(), _watch) as (host, service),
+        program(tmp_path, told(service.port, host.entry())) as process,
+    ):
+        client = await Client.connect(await port_of(process))
+        await until(lambda: service.requests)
+        if config is None:
+            (tmp_path / "config.json").unlink()
+        else:
+            write(tmp_path, config)
+        process.send_signal(signal.SIGHUP)
+        await logged(process, "ERROR reload: ")
+        assert (await client.ask()).status == 200
+        assert not service.closed
+
+
+@scenario
+async def test_sighup_says_what_it_does_not_change(tmp_path: Path) -> None:
+    async with peers(_watch) as (service,), program(tmp_path, told(service.port)) as process:
+        await port_of(process)
+        write(tmp_path, told(service.port, limits={"sockets": 512}))
+        process.send_signal(signal.SIGHUP)
+        assert "the next start" in await logged(process, "reload: ")
+
+
 def _without(key: str) -> dict[str, Any]:
     return {name: value for name, value in told(1).items() if name != key}
 
--- a/whinrouter/__main__.py
+++ b/whinrouter/__main__.py
@@ -1,4 +1,4 @@
-"""The gateway as a program: start, signals, exit."""
+"""The gateway as a program: start, signals, reload, exit."""
 
 from __future__ import annotations
 
@@ -8,10 +8,11 @@
 import os
 import signal
 import sys
+from dataclasses import replace
 
 from whinrouter.balance import Balancer
 from whinrouter.interface import SECOND
-from whinrouter.net.config import Config, ConfigError, load
+from whinrouter.net.config import Config, ConfigError, load, reload
 from whinrouter.net.discovery import Discovery
 from whinrouter.net.frontend import Frontend
 from whinrouter.net.gateway import Gateway
@@ -35,13 +36,15 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     discovery = Discovery(config.discovery, config.known.revision, gateway.list_hosts)
+    loop.add_signal_handler(signal.SIGHUP, _Reload(config, discovery))
     try:
         port = await frontend.listen(*config.listen)
     except OSError as error:
         raise ConfigError(
             f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}"
         ) from None
-    tasks = [loop.create_task(discovery.run()), loop.create_task(_watch_lag())]
+    discovery.start()
+    lag = loop.create_task(_watch_lag())
     # What exists now stays: the collector need not look at it again, which would hold up the loop.
     gc.collect()
     gc.freeze()
@@ -52,8 +55,30 @@
     await asyncio.sleep(STILL_ACCEPTING)
     frontend.close()
     await _until_answered(frontend, max(kind.deadline for kind in config.settings.classes) / SECOND)
-    for task in tasks:
-        task.cancel()
+    discovery.stop()
+    lag.cancel()
+
+
+class _Reload:
+    """On SIGHUP: read the file again, and watch the discovery that it names."""
+
+    def __init__(self, config: Config, discovery: Discovery) -> None:
+        self._config = config
+        self._discovery = discovery
+
+    def __call__(self) -> None:
+        try:
+            told = reload(os.environ)
+        except ConfigError as error:
+            log.error("reload: %s; going on with what is in force", error)
+            return
+        old, self._config = self._config, replace(self._config, discovery=told.discovery)
+        if told.discovery != old.discovery:
+            log.info("reload: discovery is now at %s:%d", *told.discovery)
+            self._discovery.move(told.discovery)
+        # These two are new in every file, and of use at a start alone.
+        if replace(told, seed=old.seed, known=old.known) != self._config:
+            log.warning("reload: only discovery changes; the rest of the file waits for the next start")
 
 
 async def _until_answered(frontend: Frontend, longest: float) -> None:
--- a/whinrouter/net/config.py
+++ b/whinrouter/net/config.py
@@ -16,6 +16,8 @@
 
 Address = tuple[str, int]
 
+_FIXED = {"name": "PROXY_NAME", "listen": "PROXY_LISTEN"}  # for the life of the process
+
 
 class ConfigError(Exception):
     """The gateway cannot start with what it was told."""
@@ -35,6 +37,17 @@
 
 
 def load(environment: Mapping[str, str]) -> Config:
+    """What to start with."""
+    # The environment comes first: an operator may set a variable for one start.
+    return _load(environment, {**_FIXED, "discovery": "PROXY_DISCOVERY"})
+
+
+def reload(environment: Mapping[str, str]) -> Config:
+    """What to go on with: the variables are as old as the start, so the file's word on discovery is newer."""
+    return _load(environment, _FIXED)
+
+
+def _load(environment: Mapping[str, str], overrides: Mapping[str, str]) -> Config:
     path = environment.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG names no file")
@@ -46,9 +59,7 @@
         raise ConfigError(f"PROXY_CONFIG is not JSON: {error}") from None
     if not isinstance(told, dict):
         raise ConfigError("PROXY_CONFIG holds no object")
-    # The environment comes first: an operator may set a variable for one start.
-    names = {"name": "PROXY_NAME", "listen": "PROXY_LISTEN", "discovery": "PROXY_DISCOVERY"}
-    told |= {key: environment[name] for key, name in names.items() if environment.get(name)}
+    told |= {key: environment[name] for key, name in overrides.items() if environment.get(name)}
     try:
         return _config(told)
     except (ValueError, TypeError, KeyError, AttributeError) as error:
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -138,8 +138,22 @@
         self._take = take
         self._random = Random()
         self._pause = FIRST_PAUSE
+        self._task: asyncio.Task[None] | None = None
 
-    async def run(self) -> None:
+    def start(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Watch another service, from its whole list on: a revision means nothing to any other service."""
+        self.stop()
+        self._address, self._revision, self._pause = address, 0, FIRST_PAUSE
+        self.start()
+
+    async def _run(self) -> None:
         while True:
             try:
                 log.info("discovery: %s; asking again", await self._watch())
