Turn bad input away at the edge, use good answers that have noise behind them, bound what is kept

A trace of what comes from sockets showed: hosts send a second copy or some noise in the same read as a good answer (135 of 8400 answers), never later; bad clients send unknown classes, odd lengths, heads without end, an open request's id, hundreds of requests ahead. Causes: frontend.py _timeout and asked served unknown classes and senseless deadlines, and the module then took the hosts' refusals for overload; http.py feed raised on noise and threw away the whole message before it; no timer for a silent connection (_limit_receiving began with the first byte); a crowded connection was held. Parsers and readers held each other until a full collection came by, and each read allocated 256 KiB (memory). What httptools lets pass, by a probe: "gzip, chunked", HTTP/2.0 and 0.9, trailers as headers, Connection: x-request-id; all else that is odd in lengths it refuses, and so do we now by our own check. Ruled out: lengths of answers that are shorter than the body (none seen). Also: Connection cannot strike out a request's id; asyncio accepted up to 512 connections in one go.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -218,6 +218,68 @@
         assert host.connections == 2
 
 
+PAGE_4 = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npage"
+
+
+@pytest.mark.parametrize(
+    "behind", [b"\x00\r\nnoise", PAGE_4, b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"]
+)
+@scenario
+async def test_a_good_answer_counts_whatever_comes_right_behind_it(behind: bytes) -> None:
+    """Its connection does not: what came behind would be taken for the next answer."""
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(PAGE_4 + (behind if len(host.requests) == 1 else b""))
+
+    async with peers(script) as (host,):
+        sender = Sender(host.port)
+        for _ in range(2):
+            assert await sender.outcome() is Outcome.OK
+            answer = sender.ends[-1][1]
+            assert answer is not None
+            assert answer.body == b"page"
+        assert host.connections == 2
+
+
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppppppppppp\r\n" * 1000,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand it keeps coming",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\npage",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" * 6000,
+        b"ICY 200 OK\r\n\r\n",
+    ],
+    ids=lambda spoilt: spoilt[:60],
+)
+@scenario
+async def test_a_spoilt_answer_may_have_run_and_is_not_waited_out(spoilt: bytes) -> None:
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(spoilt)
+
+    async with peers(script) as (host,):
+        sender = Sender(host.port)
+        assert await sender.outcome() is Outcome.RESET
+        assert sender.upstream.open <= 1
+        await until(lambda: sender.upstream.open == 0)
+
+
+@scenario
+async def test_interim_answers_ahead_are_passed_over() -> None:
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(
+            b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + PAGE_4
+        )
+
+    async with peers(script) as (host,):
+        sender = Sender(host.port)
+        for _ in range(2):
+            assert await sender.outcome() is Outcome.OK
+        assert host.connections == 1
+
+
 @scenario
 async def test_a_connection_reset_as_soon_as_it_is_up_could_not_connect(
     monkeypatch: pytest.MonkeyPatch,
--- a/whinrouter/__main__.py
+++ b/whinrouter/__main__.py
@@ -20,9 +20,10 @@
 
 log = logging.getLogger("whinrouter")
 
-RESERVED = 64  # descriptors for all that is no client's and no host's connection
+RESERVED = 32  # descriptors for all that is no client's and no host's connection, or not counted yet
 STILL_ACCEPTING = 0.5  # seconds for which connections go on coming after SIGTERM
 LAG_STEP, LAG_SHOWN = 0.1, 0.05
+SELDOM = 1.0  # seconds between two log lines of a kind
 
 
 async def serve(config: Config) -> None:
@@ -59,6 +60,26 @@
     lag.cancel()
 
 
+class _Seldom(logging.Filter):
+    """Peers can cause some lines at will: of a kind, one in a second is enough."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._said: dict[str, float] = {}  # by the text without its figures: as many as the source holds
+        self._left_out: dict[str, int] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        kind = str(record.msg)
+        if record.created < self._said.get(kind, 0.0) + SELDOM:
+            self._left_out[kind] = self._left_out.get(kind, 0) + 1
+            return False
+        self._said[kind] = record.created
+        left_out = self._left_out.pop(kind, 0)
+        if left_out:
+            record.msg = f"{kind} ({left_out} such lines left out)"
+        return True
+
+
 class _Reload:
     """On SIGHUP: read the file again, and watch the discovery that it names."""
 
@@ -108,6 +129,8 @@
         format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
         datefmt="%H:%M:%S",
     )
+    for handler in logging.getLogger().handlers:
+        handler.addFilter(_Seldom())
     try:
         asyncio.run(serve(load(os.environ)))
     except ConfigError as error:
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -5,18 +5,34 @@
 import asyncio
 import logging
 import math
-from collections import deque
+import socket
+from collections import OrderedDict, deque
+from collections.abc import Mapping
 from http import HTTPStatus
 
-from whinrouter.interface import SECOND, RequestId, Settings
+from whinrouter.interface import SECOND, Effect, RequestClass, RequestId, Settings
 from whinrouter.net.gateway import Answer, Asked, Gateway
-from whinrouter.net.http import BadMessageError, Message, RequestReader, write_answer
+from whinrouter.net.http import BadMessageError, Message, Reading, RequestReader, write_answer
 
 log = logging.getLogger(__name__)
 
-MAX_QUEUED = 16  # requests that a client may send ahead on one connection
-RECEIVE_TIME = 10.0  # seconds within which a request that has begun must be whole
-LINGER = 1.0  # seconds for which a client may go on sending what was rejected
+MAX_QUEUED = 4  # requests that a client may send ahead on one connection; most send none
+MAX_BUFFERED = 4 * 1024 * 1024  # bytes of requests that wait or have not come whole, of all clients together
+MAX_ID = 128  # characters of a request's id
+# Seconds within which a request must be whole, from its connection's start or its own. Those who open
+# connections and send nothing, or begin and never end, are gone before they have waited for three.
+RECEIVE_TIME = 2.0
+# Seconds for which a connection is kept after an answer. Some clients ask once and never close, and clients
+# together have only so many connections.
+IDLE_TIME = 2.5
+LINGER = 0.5  # seconds for which a client may go on sending what was rejected
+SWEEP_EVERY = 0.25  # seconds between looks at who is overdue
+BACKLOG = 512  # connections that wait in the system for their turn
+ACCEPTED_AT_ONCE = 16  # each takes a descriptor before anyone can count it
+
+_TOLD_ONCE = frozenset(
+    (b"x-request-id", b"x-class", b"x-deadline", b"x-key", b"x-tenant", b"x-cost-hint", b"idempotency-key")
+)
 
 
 class Frontend:
@@ -24,19 +40,29 @@
 
     def __init__(self, gateway: Gateway, settings: Settings, limit: int) -> None:
         self.gateway = gateway
-        self._deadlines = {kind.name: kind.deadline for kind in settings.classes}
-        # For a class that was never announced: what to assume, and what to believe at most.
-        self._shortest, self._longest = min(self._deadlines.values()), max(self._deadlines.values())
+        self._classes = {kind.name: kind for kind in settings.classes}
         self.limit = limit  # connections at most
-        self.connections: dict[_Client, None] = {}  # the longest unused first
+        self.connections: set[_Client] = set()
+        # Those with no request in work, in the order in which they make room for others.
+        self.waiting: OrderedDict[_Client, None] = OrderedDict()
+        self.open_ids: set[str] = set()  # of the requests in work
+        self.buffered = 0  # bytes of requests that are not in work yet
         self.stopping = False
+        self._loop = asyncio.get_running_loop()
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> int:
         """Take connections; return the port, which 0 leaves to the system."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _Client(self), host, port, backlog=512)
-        return int(self._server.sockets[0].getsockname()[1])
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        self._server = await self._loop.create_server(
+            lambda: _Client(self), sock=listener, backlog=ACCEPTED_AT_ONCE
+        )
+        listener.listen(
+            BACKLOG
+        )  # asyncio took the number for both, the queue and how many it accepts at once
+        self._loop.call_later(SWEEP_EVERY, self._sweep)
+        return int(listener.getsockname()[1])
 
     @property
     def ready(self) -> bool:
@@ -49,100 +75,183 @@
         for client in list(self.connections):
             client.close_if_idle()
 
-    def make_room(self) -> bool:
-        """Close the connection that has been without a request for longest: a client just opens another."""
-        return any(client.close_if_idle() for client in list(self.connections))
+    def admit(self, client: _Client) -> bool:
+        """Hold no more than the limit: descriptors would run out, and connections to hosts would fail.
+
+        Whoever has waited longest without a request in work makes room: a client just opens another.
+        """
+        if len(self.connections) >= self.limit:
+            if not self.waiting:
+                return False
+            self.waiting.popitem(last=False)[0].drop()
+        self.connections.add(client)
+        return True
+
+    def _sweep(self) -> None:
+        now = self._loop.time()
+        for client in [client for client in self.waiting if client.due <= now]:
+            client.run_out()
+        self._loop.call_later(SWEEP_EVERY, self._sweep)
 
     def asked(self, message: Message) -> Asked:
-        path = message.target.split(b"?", 1)[0].decode("latin-1")
-        class_name = message.get(b"x-class") or path.strip("/").split("/", 1)[0]
-        hint = message.get(b"x-cost-hint") or ""
+        """What a request asks for; BadMessageError if it asks for nothing that there is."""
+        told = _told_once(message)
+        if not 0 < len(told.get(b"x-request-id", b"")) <= MAX_ID:
+            raise BadMessageError(HTTPStatus.BAD_REQUEST, "the request has no id of use")
+        kind = self._class_of(message, told)
+        hint = told.get(b"x-cost-hint", b"")
         return Asked(
             message,
-            class_name,
-            self._timeout(message.get(b"x-deadline"), class_name),
-            int(hint) if hint.isascii() and hint.isdigit() else 0,
-            message.get(b"x-key"),
+            kind.name,
+            _timeout(told.get(b"x-deadline"), kind),
+            # A hint of more work than its class has time for would outweigh all other requests.
+            min(int(hint), kind.deadline) if hint.isdigit() and len(hint) <= 12 else 0,
+            _text(told.get(b"x-key")),
             message.get(b"x-retry") == "1",
-            message.get(b"x-tenant") or "",
+            _text(told.get(b"x-tenant")) or "",
         )
 
-    def _timeout(self, text: str | None, class_name: str) -> int:
-        """How long the client waits; its class's limit if it says nothing of use, or more than that."""
-        assumed = self._deadlines.get(class_name, self._shortest)
-        try:
-            seconds = float(text or "")
-        except ValueError:
-            return assumed
-        if not math.isfinite(seconds) or seconds <= 0:
-            return assumed
-        return min(round(seconds * SECOND), self._deadlines.get(class_name, self._longest))
+    def _class_of(self, message: Message, told: Mapping[bytes, bytes]) -> RequestClass:
+        path = message.target.split(b"?", 1)[0]
+        name = path.strip(b"/").split(b"/", 1)[0]
+        kind = self._classes.get(_text(name) or "")
+        if kind is None or told.get(b"x-class", name) != name:
+            raise BadMessageError(HTTPStatus.BAD_REQUEST, "the class is not known")
+        if message.method != (b"GET" if kind.effect is Effect.IDEMPOTENT else b"POST"):
+            raise BadMessageError(HTTPStatus.METHOD_NOT_ALLOWED, "the class goes with another method")
+        return kind
+
+
+def _told_once(message: Message) -> dict[bytes, bytes]:
+    """The headers that are acted on. Of one that comes twice a host might believe the other."""
+    told: dict[bytes, bytes] = {}
+    for name, value in message.headers:
+        if name in _TOLD_ONCE:
+            if name in told:
+                raise BadMessageError(HTTPStatus.BAD_REQUEST, "a header is told twice")
+            told[name] = value.strip()
+    return told
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1")
+
+
+def _timeout(text: bytes | None, kind: RequestClass) -> int:
+    """How long the client waits; its class's limit if it doesn't say, or says more than that."""
+    if text is None:
+        return kind.deadline
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not math.isfinite(seconds) or seconds <= 0:
+        raise BadMessageError(HTTPStatus.BAD_REQUEST, "the deadline is no time")
+    return min(round(seconds * SECOND), kind.deadline)
 
 
-class _Client(asyncio.Protocol):
+class _Client(Reading):
     """One client's connection; its requests are handled one after the other."""
 
     def __init__(self, front: Frontend) -> None:
+        self._requests = RequestReader()
+        super().__init__(self._requests)
         self._front = front
-        self._reader = RequestReader()
+        self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._queued: deque[Message] = deque()
         self._busy = False
         self._request: RequestId | None = None
-        self._close = False
-        self._crowded = False
+        self._id = ""
+        self._close = False  # after the answer that is due
+        self._deaf = False  # whatever comes now is not read any more
+        self._crowded = False  # it sent too much ahead
         self._unread = False  # the client does not take what was written to it
-        self._rejected = False
-        self._patience: asyncio.TimerHandle | None = None
+        self._begun = 1  # the message whose time to come runs: the first, from the connection's start
+        self._counted = 0  # its part of what all have buffered
+        self.due = 0.0  # loop time at which it has waited long enough
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        # Without this, descriptors would run out and connections to hosts would fail.
-        self._crowded = len(self._front.connections) >= self._front.limit and not self._front.make_room()
-        self._front.connections[self] = None
+        if self._front.admit(self):
+            self._wait(RECEIVE_TIME)
+        else:
+            self._deaf = True
+            transport.abort()
+
+    def _wait(self, seconds: float) -> None:
+        self.due = self._loop.time() + seconds
+        self._front.waiting[self] = None
+        self._front.waiting.move_to_end(self)
 
-    def data_received(self, data: bytes) -> None:
-        if self._close:
+    def received(self, data: memoryview) -> None:
+        if self._deaf:
             return
-        try:
-            self._queued.extend(self._reader.feed(data))
-        except BadMessageError as error:
-            self._reject(error.status)
+        self._queued.extend(self._requests.feed(data))
+        self._count()
+        if self._requests.error is not None:
+            self._reject(self._requests.error.status)
+        elif len(self._queued) > MAX_QUEUED or self._front.buffered > MAX_BUFFERED:
+            self._turn_away()
+        else:
+            self._next()
+            self._note_begun()
+
+    def _count(self) -> None:
+        held = sum(len(message.body) for message in self._queued) + self._requests.size
+        self._front.buffered += held - self._counted
+        self._counted = held
+
+    def _note_begun(self) -> None:
+        if self._busy or not self._requests.began:
             return
-        if len(self._queued) > MAX_QUEUED:
-            self._reject(HTTPStatus.TOO_MANY_REQUESTS)
-        elif self._reader.waits_for_leave and not self._busy and self._transport is not None:
-            self._reader.waits_for_leave = False
+        if self._requests.count > self._begun:
+            self._begun = self._requests.count
+            self._wait(RECEIVE_TIME)
+        if self._requests.waits_for_leave and self._transport is not None:
+            self._requests.waits_for_leave = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        self._limit_receiving()
-        self._next()
 
-    def _limit_receiving(self) -> None:
-        """Clients that begin requests and never end them would hold all descriptors."""
-        if self._reader.began and self._patience is None:
-            loop = asyncio.get_running_loop()
-            self._patience = loop.call_later(RECEIVE_TIME, self._reject, HTTPStatus.REQUEST_TIMEOUT)
-        elif not self._reader.began and self._patience is not None:
-            self._patience.cancel()
-            self._patience = None
+    def _stop_reading(self) -> None:
+        self._deaf = True
+        self._queued.clear()
+        self._requests.forget()
+        self._count()
 
     def _reject(self, status: HTTPStatus) -> None:
-        """Nothing that comes after this can be told apart any more; a request in work is still answered."""
-        if self._rejected:
-            return
-        self._queued.clear()
-        self._close = self._rejected = True
+        """Nothing that comes after this can be told apart any more.
+
+        A request in work ends with it: what follows shows that its length was wrong, and so what it held.
+        """
+        self._end_request()
+        self._stop_reading()
+        self._close = True
+        self._write(Answer(status))
+        # To close with bytes unread would reset the connection, and could take this answer with it.
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write_eof()
+            self._wait(LINGER)
+            self._front.waiting.move_to_end(self, last=False)
+
+    def _turn_away(self) -> None:
+        """It sends more than may wait. What is in work may have run: only its own answer will do for that."""
+        self._stop_reading()
+        self._crowded = True
         if not self._busy:
-            self._write(Answer(status))
+            self._reject(HTTPStatus.TOO_MANY_REQUESTS)
 
     def _next(self) -> None:
         while self._queued and not self._busy and not self._unread:
             message = self._queued.popleft()
+            self._count()
             self._busy = True
+            self._front.waiting.pop(self, None)
             self._close = self._close or not message.keep_alive
             try:
                 self._begin(message)
+            except BadMessageError as error:
+                self._reject(error.status)
             except Exception:
                 log.exception("failed on a request")
                 self._reply(Answer(HTTPStatus.INTERNAL_SERVER_ERROR))
@@ -150,19 +259,17 @@
     def _begin(self, message: Message) -> None:
         if message.target == b"/up" and message.method == b"GET":
             self._reply(Answer(HTTPStatus.OK if self._front.ready else HTTPStatus.SERVICE_UNAVAILABLE))
-        elif message.method not in (b"GET", b"POST"):
-            self._close = True
-            self._reply(Answer(HTTPStatus.METHOD_NOT_ALLOWED))
-        elif not message.get(b"x-request-id"):
-            self._close = True
-            self._reply(Answer(HTTPStatus.BAD_REQUEST))
-        elif self._crowded:
-            self._close = True
-            self._reply(Answer(HTTPStatus.SERVICE_UNAVAILABLE))
-        else:
-            request = self._front.gateway.take(self._front.asked(message), self._reply)
-            if self._busy:  # it may have its answer already
-                self._request = request
+            return
+        asked = self._front.asked(message)
+        name = message.get(b"x-request-id") or ""
+        if name in self._front.open_ids:
+            # Hosts tell requests apart by their ids: a second one could have the first's effect again.
+            raise BadMessageError(HTTPStatus.BAD_REQUEST, "the id is in use")
+        self._id = name
+        self._front.open_ids.add(name)
+        request = self._front.gateway.take(asked, self._reply)
+        if self._busy:  # it may have its answer already
+            self._request = request
 
     def pause_writing(self) -> None:
         """Answers nobody reads must not pile up: the next request waits."""
@@ -176,37 +283,63 @@
         if not self._busy:
             return
         self._busy, self._request = False, None
+        self._free_id()
         self._close = self._close or self._front.stopping
+        self._close = self._close and not self._crowded
         self._write(answer)
-        if self._front.connections.pop(self, True) is None:
-            self._front.connections[self] = None  # now the latest used
+        if self._crowded:
+            self._reject(HTTPStatus.TOO_MANY_REQUESTS)
+            return
+        if self._close and self._transport is not None:
+            self._stop_reading()
+            self._transport.close()
+        self._wait(RECEIVE_TIME if self._requests.began else IDLE_TIME)
+        self._begun = self._requests.count
         if self._queued:
-            asyncio.get_running_loop().call_soon(self._next)
+            self._loop.call_soon(self._next)
 
     def _write(self, answer: Answer) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(write_answer(answer.status, answer.headers, answer.body, self._close))
-            if self._rejected:
-                # To close with bytes unread would reset the connection, and could take this answer with it.
-                self._transport.write_eof()
-                asyncio.get_running_loop().call_later(LINGER, self._transport.close)
-            elif self._close:
-                self._transport.close()
-
-    def close_if_idle(self) -> bool:
+
+    def run_out(self) -> None:
+        """It has waited long enough: for a request, the rest of one, or its last answer to be read."""
+        if self._requests.began and not self._deaf:
+            self._reject(HTTPStatus.REQUEST_TIMEOUT)
+        else:
+            self.drop()
+
+    def drop(self) -> None:
+        self._front.waiting.pop(self, None)
+        self._deaf = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_if_idle(self) -> None:
         """Close it if it is between requests; one that has begun to come is still taken."""
-        if self._busy or self._queued or self._close or self._reader.began or self._transport is None:
-            return False
-        self._close = True
+        if self._busy or self._queued or self._deaf or self._requests.began or self._transport is None:
+            return
+        self._deaf = True
         self._transport.close()
-        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._front.connections.pop(self, None)
-        if self._patience is not None:
-            self._patience.cancel()
-        request, self._request = self._request, None
-        self._busy, self._close = False, True
+        self._front.connections.discard(self)
+        self._front.waiting.pop(self, None)
+        self._front.buffered -= self._counted
+        self._counted = 0
+        self._deaf = self._close = True
         self._queued.clear()
+        self._end_request()
+        self._requests.close()
+
+    def _end_request(self) -> None:
+        """Give up the one in work: nothing is owed to it, and its id is free."""
+        request, self._request = self._request, None
+        self._busy = False
+        self._free_id()
         if request is not None:
             self._front.gateway.leave(request)
+
+    def _free_id(self) -> None:
+        self._front.open_ids.discard(self._id)
+        self._id = ""
--- a/whinrouter/net/http.py
+++ b/whinrouter/net/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -11,8 +12,14 @@
 Headers = list[tuple[bytes, bytes]]
 
 MAX_BODY = 64 * 1024
+MAX_HEAD = 16 * 1024  # more than any browser sends; what has no end is noticed early
 MAX_MESSAGE = 2 * MAX_BODY  # with its head and framing: no peer may fill the memory
 
+# One for all reads; asyncio would otherwise allocate 256 KiB for each.
+_BUFFER = memoryview(bytearray(64 * 1024))
+
+_FRAMING = (b"content-length", b"transfer-encoding")
+
 # They speak of one connection, not of the message (RFC 9110, 7.6.1), or are written anew.
 _NOT_PASSED_ON = frozenset(
     (
@@ -28,6 +35,8 @@
         b"x-deadline",
     )
 )
+# A client could otherwise strike them out by naming them in Connection.
+_ALWAYS_PASSED_ON = frozenset((b"x-request-id", b"idempotency-key"))
 
 
 class BadMessageError(Exception):
@@ -58,52 +67,91 @@
 
 
 class _Reader:
-    """Collects what httptools reports into whole messages."""
+    """Takes the bytes of one connection and gives out whole messages; no message may be too large."""
 
     def __init__(self) -> None:
-        self.messages: list[Message] = []
-        self.waits_for_leave = False  # the peer asked for 100 Continue before it sends the body
+        self.waits_for_leave = False  # the peer wants a 100 before it sends the body
+        self.began = False  # a part of a message has come
+        self.count = 0  # messages that have begun
+        self.size = 0  # bytes since the last whole message, at most
+        self.error: BadMessageError | None = None  # what is wrong with what follows the whole messages
+        self._messages: list[Message] = []
         self._message = Message()
         self._body = bytearray()
-        self.began = False  # a part of a message has come
-        self._size = 0
+        self._in_head = False
+        self._head = 0
         self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser
 
-    def feed(self, data: bytes) -> list[Message]:
-        """Take what came in; return the messages that are now whole."""
-        self.messages = []
-        self._size += len(data)
+    def feed(self, data: bytes | memoryview) -> list[Message]:
+        """Take what came in; return the messages that are now whole. After an `error` nothing may follow."""
+        self._messages = []
+        self.size += len(data)
         try:
             self._parser.feed_data(data)
+            self._bound()
+        except BadMessageError as error:
+            self.error = error
         except httptools.HttpParserUpgrade:
-            raise BadMessageError(HTTPStatus.BAD_REQUEST, "an upgrade is not possible") from None
+            self.error = BadMessageError(HTTPStatus.BAD_REQUEST, "an upgrade is not possible")
         except httptools.HttpParserCallbackError as error:
-            if isinstance(error.__context__, BadMessageError):
-                raise error.__context__ from None
-            raise
+            if not isinstance(error.__context__, BadMessageError):
+                raise
+            self.error = error.__context__
         except httptools.HttpParserError as error:
-            raise BadMessageError(HTTPStatus.BAD_REQUEST, f"broken HTTP: {error}") from None
-        if self._size > MAX_MESSAGE and not self.messages:
+            self.error = BadMessageError(HTTPStatus.BAD_REQUEST, f"broken HTTP: {error}")
+        return self._messages
+
+    def forget(self) -> None:
+        """What has come of a message is of no use: nothing may be fed any more."""
+        self._message, self._body, self.size = Message(), bytearray(), 0
+
+    def close(self) -> None:
+        """The connection is over. Parser and reader hold each other: a collector would come by much later."""
+        del self._parser
+
+    def _bound(self) -> None:
+        # The parser gathers a line before it shows it: only the count of bytes tells of one without an end.
+        if self._in_head and self.size > MAX_HEAD:
+            raise BadMessageError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
+        if self.size > MAX_MESSAGE:
             raise BadMessageError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the message is too large")
-        return self.messages
 
     def on_message_begin(self) -> None:
-        self.began = True
+        self.began = self._in_head = True
+        self.count += 1
+        self._head = 0
         self._message = Message()
         self._body = bytearray()
 
     def on_url(self, url: bytes) -> None:
         self._message.target += url
+        self._head += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._message.headers.append((name.lower(), value))
+        self._head += len(name) + len(value)
+        if self._head > MAX_HEAD:
+            raise BadMessageError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
+        if self._in_head:  # a trailer is not what the message was judged by
+            self._message.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        length = self._message.get(b"content-length")
-        if length is not None and length.isdigit() and int(length) > MAX_BODY:
-            raise BadMessageError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+        self._in_head = False
+        self._check_framing()
         self.waits_for_leave = (self._message.get(b"expect") or "").lower() == "100-continue"
 
+    def _check_framing(self) -> None:
+        """Whoever reads an odd length otherwise than we do would find another message in the body."""
+        told = [(name, value.strip().lower()) for name, value in self._message.headers if name in _FRAMING]
+        if self._parser.get_http_version() not in ("1.0", "1.1"):
+            raise BadMessageError(HTTPStatus.HTTP_VERSION_NOT_SUPPORTED, "this is not HTTP/1")
+        if not told:
+            return
+        (name, value), *others = told
+        if others or (value != b"chunked" if name == b"transfer-encoding" else not value.isdigit()):
+            raise BadMessageError(HTTPStatus.BAD_REQUEST, "the length is not told in one plain way")
+        if name == b"content-length" and (len(value) > 9 or int(value) > MAX_BODY):
+            raise BadMessageError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+
     def on_body(self, data: bytes) -> None:
         self._body += data
         if len(self._body) > MAX_BODY:
@@ -114,8 +162,8 @@
         self._message.keep_alive = self._parser.should_keep_alive()
         self.waits_for_leave = False
         self.began = False
-        self._size = 0
-        self.messages.append(self._message)
+        self.size = 0
+        self._messages.append(self._message)
 
 
 class RequestReader(_Reader):
@@ -139,15 +187,30 @@
             super().on_message_complete()
 
 
+class Reading(asyncio.BufferedProtocol):
+    """A connection's receiving end. All share one buffer: each read is used up before the next."""
+
+    def __init__(self, reader: RequestReader | ResponseReader) -> None:
+        self._reader = reader
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return _BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.received(_BUFFER[:nbytes])
+
+    def received(self, data: memoryview) -> None:
+        raise NotImplementedError
+
+
 def passed_on(headers: Headers) -> Headers:
     """The headers that go from one side to the other."""
-    named = {
-        name.strip().lower()
-        for other, value in headers
-        if other == b"connection"
-        for name in value.split(b",")
-    }
-    return [(name, value) for name, value in headers if name not in _NOT_PASSED_ON and name not in named]
+    passed = [header for header in headers if header[0] not in _NOT_PASSED_ON]
+    for name, value in headers:
+        if name == b"connection":
+            named = {other.strip().lower() for other in value.split(b",")} - _ALWAYS_PASSED_ON
+            passed = [header for header in passed if header[0] not in named]
+    return passed
 
 
 def _write(first: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> bytes:
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -9,7 +9,7 @@
 
 from whinrouter.interface import Outcome, ServerId, State
 from whinrouter.net.discovery import Member
-from whinrouter.net.http import BadMessageError, Message, ResponseReader, write_request
+from whinrouter.net.http import Message, Reading, ResponseReader, write_request
 
 log = logging.getLogger(__name__)
 
@@ -68,15 +68,16 @@
         self.end(outcome)
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(Reading):
     """One connection to a host; carries one attempt at a time."""
 
     def __init__(self, pool: Upstream, host: _Host) -> None:
+        self._answers = ResponseReader()
+        super().__init__(self._answers)
         self._pool = pool
         self._host = host
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._reader = ResponseReader()
         self._attempt: Attempt | None = None
         self._expiry: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
@@ -110,19 +111,19 @@
     def resume_writing(self) -> None:
         self.written = True
 
-    def data_received(self, data: bytes) -> None:
+    def received(self, data: memoryview) -> None:
         if self._attempt is None:  # bytes that nobody asked for would be taken for the next answer
             self.drop()
             return
-        try:
-            answers = self._reader.feed(data)
-        except BadMessageError as error:
-            log.warning("a host's answer is of no use: %s", error)
-            self._break()
-            return
+        answers = self._answers.feed(data)
         if answers:
-            # What follows an answer, even the start of another, would be taken for the next one.
-            self._answered(answers[0], self.written and len(answers) == 1 and not self._reader.began)
+            # A whole answer is good whatever comes behind it; the connection is not, as what follows,
+            # even the start of another answer, would be taken for the next one.
+            alone = len(answers) == 1 and not self._answers.began and self._answers.error is None
+            self._answered(answers[0], self.written and alone)
+        elif self._answers.error is not None:
+            log.warning("a host's answer is of no use: %s", self._answers.error)
+            self._break()
 
     def _answered(self, answer: Message, clean: bool) -> None:
         attempt, self._attempt = self._attempt, None
@@ -146,6 +147,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._pool.connections -= 1
         self._break()
+        self._answers.close()
 
     def _break(self) -> None:
         attempt, self._attempt = self._attempt, None
