--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -23,7 +23,7 @@
 FAN_IN = 20  # balancers that share a server, where there are more
 LEAST_SUBSET = 4  # servers that a balancer keeps to at least
 
-FIRST_LIMIT = 8.0  # attempts a balancer may have in flight at a server it has just met
+FIRST_LIMIT = 4.0  # attempts a balancer may have in flight at a server it has just met
 TARGET = 0.5  # share of the aim within which answers come in while a server has room
 SHED_TIME = SECOND // 2  # late answers for this long leave about a third of the share that is admitted
 SIGN = SECOND // 4  # an answer speaks for the time since the one before it, but for no longer than this
@@ -170,8 +170,8 @@
     def _on_request(self, event: Request, now: int) -> list[Action]:
         kind = self._classes.get(event.class_name)
         if kind is None:  # a class never announced may hold anything: it must not run twice
-            kind = RequestClass(event.class_name, event.timeout or 1, event.timeout or 1, Effect.AT_MOST_ONCE)
-            self._classes[kind.name] = kind
+            kind = RequestClass("", event.timeout or 1, event.timeout or 1, Effect.AT_MOST_ONCE)
+            self._classes[kind.name] = kind  # one for all of them: names are at a peer's will
         pending = Pending(event, kind, now, now + event.timeout)
         self._pending[event.id] = pending
         self._spare = min(self._most_spare, self._spare + EXTRA_SHARE)
