--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -210,6 +210,16 @@
             await until(lambda: not proxy.gateway._held)
 
 
+@scenario
+async def test_the_crowd_at_the_start_is_not_refused() -> None:
+    """All clients begin at once; what the module allows at hosts that it has just met must do for that."""
+    async with peers(silent) as (host,), running(host.member()) as proxy:
+        clients = [await proxy.client() for _ in range(8)]
+        for client in clients:
+            client.writer.write(request_text())
+        await until(lambda: len(host.requests) == 8)
+
+
 @scenario
 async def test_a_fault_in_one_request_fails_it_and_no_other(caplog: pytest.LogCaptureFixture) -> None:
     async with peers(says()) as (host,), running(host.member()) as proxy:
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -23,7 +23,7 @@
 FAN_IN = 20  # balancers that share a server, where there are more
 LEAST_SUBSET = 4  # servers that a balancer keeps to at least
 
-FIRST_LIMIT = 4.0  # attempts a balancer may have in flight at a server it has just met
+FIRST_LIMIT = 8.0  # attempts a balancer may have in flight at a server it has just met
 TARGET = 0.5  # share of the aim within which answers come in while a server has room
 SHED_TIME = SECOND // 2  # late answers for this long leave about a third of the share that is admitted
 SIGN = SECOND // 4  # an answer speaks for the time since the one before it, but for no longer than this
