Judge each class at each host, look at lates again, and see silence behind clients that leave

A purchase on a silent host was cancelled long before it was late, its place fell free (in flight 1 of 4, pace and breaker as if well), and the next went there: 150 of 274 cancelled purchases. Ruled out: a lagging loop (0 to 1 ms), connections coming up (0 connecting), cooldowns and open breakers (none was open), the admitted share (0.92 to 1), in_flight not returning after cancels (it does). At fault: Breaker.succeed clears the failures at every success of any class, so that three never gather; balance.py _on_late looks once, and not again where the usual time has grown since (it moves by 4 % with each answer): about half of the looks came to nothing; _judge passes over what was cancelled or timed out.

Mended: a ClassBreaker for each class at each host beside the host's own, which is as before; _on_late sets its timer anew; an attempt out longer than usual while its host served none of its class counts as silence, also if its client left. What the module believes of a host moved to host.py, which policy names.

The tests over sockets fail without the change, each on its own line.

--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,93 @@
+"""What a host does to one class of request, while it serves the others."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.peers import Client, Script, listing, peers, request_text, running, says, scenario, silent, until
+from whinrouter.net.http import Message
+
+ROUNDS = 150
+
+
+def asks_to_buy(request: Message) -> bool:
+    return request.target.startswith(b"/chapter-buy")
+
+
+def fails_to_sell(every: int) -> Script:
+    """Serves all reads at once, and fails each so-many-th purchase as quickly."""
+    bought = 0
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        nonlocal bought
+        bought += asks_to_buy(request)
+        fails = asks_to_buy(request) and bought % every == 0
+        await says(500 if fails else 200)(request, writer)
+
+    return script
+
+
+async def never_sells(request: Message, writer: asyncio.StreamWriter) -> None:
+    await (silent if asks_to_buy(request) else says())(request, writer)
+
+
+@pytest.mark.parametrize("every", [1, 2])
+@scenario
+async def test_a_host_that_fails_one_class_gets_little_of_it_and_the_rest_as_before(every: int) -> None:
+    """Purchases failed at half of the hosts, which served reads: no three failures came in a row."""
+    async with peers(fails_to_sell(every), says()) as hosts, running(*(h.member() for h in hosts)) as proxy:
+        client = await proxy.client()
+        for _ in range(ROUNDS):
+            assert (await client.ask("page-read")).status == 200
+            await client.ask("chapter-buy")
+        bought = [sum(map(asks_to_buy, host.requests)) for host in hosts]
+        assert sum(bought) == ROUNDS
+        assert bought[0] < ROUNDS / 4
+        proxy.gateway.list_hosts(listing(hosts[0].member()))
+        assert (await client.ask("page-read")).status == 200
+
+
+async def leave_early(client: Client, seconds: float) -> None:
+    client.writer.write(request_text("chapter-buy"))
+    try:
+        async with asyncio.timeout(seconds):
+            await client.answer()
+    except TimeoutError:
+        pass
+    finally:
+        client.close()
+
+
+@scenario
+async def test_a_host_silent_on_one_class_is_found_though_its_clients_leave_first() -> None:
+    """Each that left freed its place, so that the silent host looked the least busy."""
+
+    async def sells(request: Message, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.1 if asks_to_buy(request) else 0)  # as long as is usual at first
+        await says()(request, writer)
+
+    async with peers(never_sells, sells) as hosts, running(*(host.member() for host in hosts)) as proxy:
+        for _ in range(60):
+            await leave_early(await proxy.client(), 0.17)  # before an attempt is late
+            await proxy.ask("page-read")
+        bought = sum(map(asks_to_buy, hosts[0].requests))
+        assert bought < 15
+        assert len(hosts[0].requests) > bought
+
+
+@scenario
+async def test_an_attempt_is_judged_late_though_the_usual_time_grew_since() -> None:
+    """The look at it came too early by then, and there was no second one: it had no fallback for good."""
+
+    async def slow(request: Message, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.15)
+        await says()(request, writer)
+
+    async with peers(silent, slow) as hosts, running(hosts[0].member()) as proxy:
+        stuck = asyncio.create_task(proxy.ask("page-read"))
+        await until(lambda: hosts[0].requests)
+        proxy.gateway.list_hosts(listing(hosts[0].member(), hosts[1].member()))
+        assert (await proxy.ask("page-read")).status == 200
+        assert (await stuck).status == 200
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from hashlib import blake2b
 from random import Random
 
 from whinrouter.breaker import Breaker
+from whinrouter.host import Host
 from whinrouter.interface import (
     SECOND, Action, Attempt, AttemptEnded, Cancel, Effect, Event, Fail, Outcome, Pending, Refuse, Request,
     RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId, ServerList, SetTimer, Settings,
@@ -19,21 +19,19 @@
 )  # fmt: skip
 
 OPEN_SHARE = 0.5  # no closed breaker counts a failure while this share of them is open
+CLASS_OPEN_SHARE = 0.75  # likewise of the breakers for a class; the servers still serve the others
 
 FAN_IN = 20  # balancers that share a server, where there are more
 LEAST_SUBSET = 4  # servers that a balancer keeps to at least
 
-FIRST_LIMIT = 8.0  # attempts a balancer may have in flight at a server it has just met
 TARGET = 0.5  # share of the aim within which answers come in while a server has room
 SHED_TIME = SECOND // 2  # late answers for this long leave about a third of the share that is admitted
 SIGN = SECOND // 4  # an answer speaks for the time since the one before it, but for no longer than this
 SAVED = 5  # seconds of its share that a tenant may save up
-BACK_OFF = 0.7  # by which each sign of overload cuts that limit
 
 LATE = 2.5  # an attempt out this many times as long as its like usually take is late
 EXTRA_SHARE = 0.1  # retry budget: attempts past the fallback, and hedges, for each request on average
 EXTRA_BURST = 20.0  # saved up at most, by all balancers together
-RECALL = SECOND // 2  # a server's pace is remembered for this long
 STEP = 1.04  # by which the usual time follows each answer
 
 RATE_WINDOW = 2 * SECOND  # over which the work that servers did is averaged
@@ -43,35 +41,20 @@
 
 # A time-out is none: the client's own limit cut it short. Being late is judged before, by peers.
 FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.UNKNOWN}
+# Turned away or never connected it tells of load or of the host, not of what was asked.
+CLASS_FAILURES = {Outcome.ERROR, Outcome.RESET, Outcome.UNKNOWN}
 
 
 def _rank(key: str, server: ServerId) -> bytes:
     return blake2b(f"{key} {server}".encode(), digest_size=8).digest()
 
 
-@dataclass(slots=True, eq=False)
-class _Host:
-    info: Server
-    breaker: Breaker
-    refilled: int  # when its allowance was brought up to date
-    allowance: float = 0.0  # work that may be sent while cold
-    in_flight: int = 0
-    limit: float = FIRST_LIMIT  # in flight at most; grows with answers in time, shrinks with late ones
-    cut: int = 0  # when the limit was last cut
-    pace: float = 1.0  # how long its answers take, as a multiple of the usual time
-    paced: int = 0
-
-    def busy(self, now: int) -> float:
-        """In flight by pace; a pace not seen again is forgotten, or a bad spell would last for ever."""
-        return (self.in_flight + 1) * (1 + (self.pace - 1) * max(0.0, 1 - (now - self.paced) / RECALL))
-
-
 class Balancer:
     def __init__(self, settings: Settings, seed: int) -> None:
         self._settings = settings
         self._random = Random(seed)
         self._classes = {kind.name: kind for kind in settings.classes}
-        self._hosts: dict[ServerId, _Host] = {}  # those that may be sent to
+        self._hosts: dict[ServerId, Host] = {}  # those that may be sent to
         self._pending: dict[RequestId, Pending] = {}
         self._served: dict[str, float] = {}  # work done by each kind of server, averaged
         self._counted = 0
@@ -82,8 +65,8 @@
         self._asked: dict[tuple[str, bool], float] = {}  # work asked for, likewise
         self._credit = {tenant: (allowance * SAVED, 0) for tenant, allowance in settings.allowances.items()}
         self._share, self._signed = 1.0, 0  # share of the work that is admitted; when an answer last moved it
-        self._order: list[_Host] = []  # for drawing at random
-        self._spill: list[_Host] = []  # those outside its subset, in the order in which they stand in
+        self._order: list[Host] = []  # for drawing at random
+        self._spill: list[Host] = []  # those outside its subset, in the order in which they stand in
         self._patience: dict[str, int] = {}  # the longest time a client has left to its first try, by class
         self._usual: dict[str, float] = {}  # median time of an answer by class, for each unit of cost
 
@@ -114,14 +97,14 @@
                 self._hosts.pop(server, None)
             elif known is None or known.info.started != info.started:
                 # A restarted server is a new one: cold, and its breaker fresh.
-                self._hosts[server] = _Host(info, Breaker(self._random), now)
+                self._hosts[server] = Host(info, self._random, Breaker(self._random), now)
             else:
                 known.info = info
         self._summed = now - SUM_EVERY
         self._order, self._spill = self._subset()
         return [Subscribe()] if asks and event.update is Update.STALE else []
 
-    def _subset(self) -> tuple[list[_Host], list[_Host]]:
+    def _subset(self) -> tuple[list[Host], list[Host]]:
         """This balancer's servers, and the others in the order in which they stand in.
 
         Hundreds of balancers with a connection each fill every server's table, and the rest cannot connect.
@@ -134,7 +117,7 @@
         first, end = place * known // slices, (place + 1) * known // slices
         return ring[first:end], ring[end:] + ring[:first]
 
-    def _warmth(self, host: _Host, now: int) -> float:
+    def _warmth(self, host: Host, now: int) -> float:
         """The least share of its capacity that a server has by now."""
         ramp, started = self._settings.ramp_time, host.info.started
         if not started or now >= started + ramp:
@@ -149,7 +132,7 @@
         self._served[kind] = self._served.get(kind, 0.0) + cost
         self._counted = now
 
-    def _refill(self, host: _Host, cost: float, now: int) -> None:
+    def _refill(self, host: Host, cost: float, now: int) -> None:
         """Give a cold server its share, by present capacity, of the work that its kind did lately.
 
         Work asked for would not do: retries swell it. Each balancer's shares follow its own traffic.
@@ -244,21 +227,22 @@
         answer = Refuse if self._may_refuse(pending) else Fail
         return [answer(pending.request.id), *self._settle(pending)]
 
-    def _send(self, pending: Pending, host: _Host, now: int) -> list[Action]:
+    def _send(self, pending: Pending, host: Host, now: int) -> list[Action]:
         token = f"{pending.request.id}:{len(pending.attempts)}"
-        pending.attempts.append(Attempt(host.info, now, host.breaker.start()))
+        trials = host.breaker.start(), host.of(pending.kind.name).start()
+        pending.attempts.append(Attempt(host.info, now, *trials))
         host.in_flight += 1
         host.allowance -= self._cost(pending)
         late = max(1, round(LATE * self._expected(pending)))
         return [Send(pending.request.id, host.info.id), SetTimer(late, token)]
 
-    def _choose(self, pending: Pending, now: int) -> _Host | None:
+    def _choose(self, pending: Pending, now: int) -> Host | None:
         """Two random servers that admit: the less busy first, the other as its fallback."""
         tried = {attempt.server.id for attempt in pending.attempts}
         fallback = self._hosts.get(pending.fallback) if pending.fallback is not None else None
         if fallback and fallback.info.id not in tried and self._admits(fallback, pending, now):
             return fallback
-        drawn: list[_Host] = []
+        drawn: list[Host] = []
         for host in self._candidates(pending.request.key):
             if host not in drawn and host.info.id not in tried and self._admits(host, pending, now):
                 drawn.append(host)
@@ -268,7 +252,7 @@
         pending.fallback = drawn[1].info.id if len(drawn) > 1 else None
         return drawn[0] if drawn else None
 
-    def _candidates(self, key: str | None) -> Iterator[_Host]:
+    def _candidates(self, key: str | None) -> Iterator[Host]:
         """The servers in random order; where they warm to keys, as the hash of the key ranks them."""
         if key is not None and self._settings.warm_keys:
             yield from sorted(self._order, key=lambda host: _rank(key, host.info.id))
@@ -279,19 +263,15 @@
         yield from self._shuffled(self._order)
         yield from self._spill
 
-    def _shuffled(self, hosts: list[_Host]) -> Iterator[_Host]:
+    def _shuffled(self, hosts: list[Host]) -> Iterator[Host]:
         """In random order, worked out only as far as it is asked for."""
         for place in range(len(hosts)):
             other = self._random.randrange(place, len(hosts))
             hosts[place], hosts[other] = hosts[other], hosts[place]
             yield hosts[place]
 
-    def _admits(self, host: _Host, pending: Pending, now: int) -> bool:
-        if (
-            host.in_flight >= int(host.limit)
-            or not host.breaker.admits(now)
-            or not self._in_group(host.info, pending)
-        ):
+    def _admits(self, host: Host, pending: Pending, now: int) -> bool:
+        if not host.admits(pending.kind.name, now) or not self._in_group(host.info, pending):
             return False
         if self._warmth(host, now) == 1:
             return True
@@ -342,8 +322,8 @@
         if pending is None or attempt is None:
             return []
         host = self._host_of(attempt)
-        if host is not None and not attempt.judged:
-            host.breaker.succeed(attempt.trial)
+        if host is not None:
+            host.succeed(pending.kind.name, attempt, now)
         attempt.judged = attempt.streams = True
         return self._settle(pending)
 
@@ -352,11 +332,11 @@
         known = pending.attempts[number : number + 1] if pending else []
         return pending, known[0] if known else None
 
-    def _host_of(self, attempt: Attempt) -> _Host | None:  # none if it left or was restarted since
+    def _host_of(self, attempt: Attempt) -> Host | None:  # none if it left or was restarted since
         host = self._hosts.get(attempt.server.id)
         return host if host is not None and host.info.started == attempt.server.started else None
 
-    def _judge(self, host: _Host, pending: Pending, attempt: Attempt, now: int) -> None:
+    def _judge(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> None:
         if attempt.outcome is Outcome.OK and not attempt.streams:
             taken = now - attempt.sent
             host.paced, host.pace = now, host.pace + 0.2 * (taken / self._expected(pending) - host.pace)
@@ -370,37 +350,57 @@
             late and attempt.outcome is Outcome.CANCELLED
         ):
             self._sign(attempt.outcome is Outcome.OK and not late, now)
-        if attempt.judged:
-            return  # its verdict is given
+        if attempt.outcome is Outcome.OK and not attempt.streams:
+            host.succeed(pending.kind.name, attempt, now)
+        if not attempt.judged:  # else its verdict is given
+            self._judge_load(host, pending, attempt, now)
+            self._judge_health(host, pending, attempt, now)
+
+    def _judge_load(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> None:
         if attempt.outcome is Outcome.OK and now - pending.arrived <= TARGET * pending.kind.aim:
-            if 2 * host.in_flight >= host.limit - 2:
-                host.limit += min(host.limit, 1 / host.limit)
-        elif attempt.outcome is not Outcome.CANCELLED and attempt.sent >= host.cut:
-            # One stall delays all that is in flight: it is one sign, however many attempts it holds.
-            host.limit = max(1.0, host.limit * BACK_OFF)
-            host.cut = now
-        if attempt.outcome is Outcome.OK:
-            host.breaker.succeed(attempt.trial)
-        elif attempt.outcome in FAILURES:
+            host.widen()
+        elif attempt.outcome is not Outcome.CANCELLED:
+            host.narrow(attempt, now)
+
+    def _judge_health(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> None:
+        if attempt.outcome in FAILURES:
             self._fail(host, attempt, now)
-        elif attempt.trial:
+        elif attempt.trial and attempt.outcome is not Outcome.OK:
             host.breaker.abandon()
+        if attempt.outcome in CLASS_FAILURES or self._silent(host, pending, attempt, now):
+            self._fail_class(host, pending, attempt, now)
+        elif attempt.class_trial and attempt.outcome is not Outcome.OK:
+            host.of(pending.kind.name).abandon()
+
+    def _silent(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> bool:
+        return host.silent(pending.kind.name, attempt, self._expected(pending), now)
 
-    def _fail(self, host: _Host, attempt: Attempt, now: int) -> None:
+    def _fail(self, host: Host, attempt: Attempt, now: int) -> None:
         """Count a failure, unless trouble is shared: breakers must not refuse work that the fleet can do."""
         opened = sum(not other.breaker.closed for other in self._hosts.values())
         if attempt.trial or opened < OPEN_SHARE * len(self._hosts):
             host.breaker.fail(now, attempt.trial)
 
+    def _fail_class(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> None:
+        name = pending.kind.name
+        opened = sum(not other.of(name).closed for other in self._hosts.values())
+        if attempt.class_trial or opened < CLASS_OPEN_SHARE * len(self._hosts):
+            host.of(name).fail(now, attempt.class_trial)
+
     def _on_late(self, token: str, now: int) -> list[Action]:
         """An attempt is out far longer than its like: a failure, as soon as it can be known."""
         pending, attempt = self._find(*map(int, token.split(":")))
         if pending is None or attempt is None or attempt.outcome is not None or attempt.judged:
             return []
+        left = attempt.sent + round(LATE * self._expected(pending)) - now
+        if left > 0:  # the usual time grew since: a silent server's silence must not go unjudged for that
+            return [SetTimer(left, token)]
         host = self._host_of(attempt)
-        if host is not None and now - attempt.sent >= LATE * self._expected(pending):
+        if host is not None:
             attempt.judged = True
             self._fail(host, attempt, now)
+            if attempt.class_trial or self._silent(host, pending, attempt, now):
+                self._fail_class(host, pending, attempt, now)
             if not pending.answered:  # the fallback starts beside it
                 return self._attempt(pending, now)
         return []
--- a/whinrouter/breaker.py
+++ b/whinrouter/breaker.py
@@ -1,4 +1,4 @@
-"""The circuit breaker of one server; it reads no clock and does no I/O."""
+"""The circuit breakers of one server; they read no clock and do no I/O."""
 
 from __future__ import annotations
 
@@ -11,6 +11,8 @@
 THRESHOLD = 3  # failures that open a breaker
 COOLDOWN, MAX_COOLDOWN = SECOND // 4, 20 * SECOND
 JITTER = 0.15
+TAKES_BACK = 3  # successes that take back a failure of their class: a quarter failing is too much
+CLASS_COOLDOWN = 4 * SECOND  # at most: the server serves all else meanwhile, and a trial costs one request
 
 
 class Breaker:
@@ -21,6 +23,7 @@
         self._failures: deque[int] = deque()
         self._reopens: int | None = None  # end of the cooldown; None while closed
         self._cooldown = COOLDOWN
+        self._longest = MAX_COOLDOWN
         self._trial = False
 
     @property
@@ -47,7 +50,7 @@
 
     def fail(self, now: int, trial: bool) -> None:
         if trial:
-            self._cooldown = min(2 * self._cooldown, MAX_COOLDOWN)
+            self._cooldown = min(2 * self._cooldown, self._longest)
             self._open(now)
         elif self.closed:
             self._failures.append(now)
@@ -58,5 +61,38 @@
 
     def _open(self, now: int) -> None:
         self._trial = False
-        self._failures.clear()
         self._reopens = now + round(self._cooldown * self._random.uniform(1 - JITTER, 1 + JITTER))
+
+
+class ClassBreaker(Breaker):
+    """What one class of request meets at one server, which may fail or never answer it and serve the rest.
+
+    Successes of other classes can't wash that out here, and its own not at once: some of them take back one
+    failure, after a good trial the next failure opens it anew, and the cooldown is short again only once no
+    failure is left. It covers any fault that follows the kind of request, wholly or in part: a path whose
+    database is dead, a bad release, a lock. It hurts where a class fails the same everywhere, as the servers
+    that it leaves get all of it: only a share of them may be open at a time.
+    """
+
+    def __init__(self, random: Random) -> None:
+        super().__init__(random)
+        self._longest = CLASS_COOLDOWN
+        self._good = 0  # successes that have taken back nothing yet
+        self.served = 0  # when it last served one
+
+    def serve(self, now: int, trial: bool) -> None:
+        self.served = now
+        if self.closed:
+            self._good += 1
+            if self._good >= TAKES_BACK:
+                self._take_back()
+        elif trial:
+            self._take_back()
+            self._reopens, self._trial = None, False
+
+    def _take_back(self) -> None:
+        self._good = 0
+        if self._failures:
+            self._failures.pop()
+        if not self._failures:
+            self._cooldown = COOLDOWN
--- /dev/null
+++ b/whinrouter/host.py
@@ -0,0 +1,68 @@
+"""What a balancer believes of one server; it reads no clock and does no I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+from whinrouter.breaker import Breaker, ClassBreaker
+from whinrouter.interface import SECOND, Attempt, Outcome, Server
+
+FIRST_LIMIT = 8.0  # attempts a balancer may have in flight at a server it has just met
+BACK_OFF = 0.7  # by which each sign of overload cuts that limit
+RECALL = SECOND // 2  # a server's pace is remembered for this long
+IN_VAIN = {None, Outcome.TIMEOUT, Outcome.CANCELLED}  # out, or given up while it was
+
+
+@dataclass(slots=True, eq=False)
+class Host:
+    info: Server
+    random: Random
+    breaker: Breaker
+    refilled: int  # when its allowance was brought up to date
+    allowance: float = 0.0  # work that may be sent while cold
+    in_flight: int = 0
+    limit: float = FIRST_LIMIT  # in flight at most; grows with answers in time, shrinks with late ones
+    cut: int = 0  # when the limit was last cut
+    pace: float = 1.0  # how long its answers take, as a multiple of the usual time
+    paced: int = 0
+    classes: dict[str, ClassBreaker] = field(default_factory=dict)  # an entry for each class announced
+
+    def busy(self, now: int) -> float:
+        """In flight by pace; a pace not seen again is forgotten, or a bad spell would last for ever."""
+        return (self.in_flight + 1) * (1 + (self.pace - 1) * max(0.0, 1 - (now - self.paced) / RECALL))
+
+    def of(self, class_name: str) -> ClassBreaker:
+        known = self.classes.get(class_name)
+        if known is None:
+            known = self.classes[class_name] = ClassBreaker(self.random)
+        return known
+
+    def admits(self, class_name: str, now: int) -> bool:
+        room = self.in_flight < int(self.limit)
+        return room and self.breaker.admits(now) and self.of(class_name).admits(now)
+
+    def widen(self) -> None:
+        """An answer came in time: the limit grows where it is nearly reached."""
+        if 2 * self.in_flight >= self.limit - 2:
+            self.limit += min(self.limit, 1 / self.limit)
+
+    def narrow(self, attempt: Attempt, now: int) -> None:
+        """One stall delays all that is in flight: it is one sign, however many attempts it holds."""
+        if attempt.sent >= self.cut:
+            self.limit = max(1.0, self.limit * BACK_OFF)
+            self.cut = now
+
+    def succeed(self, class_name: str, attempt: Attempt, now: int) -> None:
+        """A late answer has had its verdict, but shows that its class is served."""
+        if not attempt.judged:
+            self.breaker.succeed(attempt.trial)
+        self.of(class_name).serve(now, attempt.class_trial and not attempt.judged)
+
+    def silent(self, class_name: str, attempt: Attempt, usual: float, now: int) -> bool:
+        """Whether it let an attempt wait and served none of its class meanwhile; a slow one serves others.
+
+        Clients that leave early must not hide that: each makes a silent server look free for the next.
+        """
+        waited = attempt.outcome in IN_VAIN and now - attempt.sent >= usual
+        return waited and self.of(class_name).served < attempt.sent
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -274,6 +274,7 @@
     server: Server
     sent: int
     trial: bool = False  # the half-open trial of its server
+    class_trial: bool = False  # the half-open trial of its class there
     judged: bool = False  # its server has had the verdict while it was out
     streams: bool = False  # the client's own since its answer began
     outcome: Outcome | None = None  # None while it is out
