--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -41,8 +41,8 @@
 
 # A time-out is none: the client's own limit cut it short. Being late is judged before, by peers.
 FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.UNKNOWN}
-# Turned away or never connected it tells of load or of the host, not of what was asked.
-CLASS_FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.RESET, Outcome.UNKNOWN}
+# Connections that never come up or break tell of the host or the way to it, not of what was asked.
+CLASS_FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.UNKNOWN}
 
 
 def _rank(key: str, server: ServerId) -> bytes:
