--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -390,25 +390,19 @@
 
     def _on_late(self, token: str, now: int) -> list[Action]:
         """An attempt is out far longer than its like: a failure, as soon as it can be known."""
-        request, number, *again = token.split(":")
-        pending, attempt = self._find(int(request), int(number))
+        pending, attempt = self._find(*map(int, token.split(":")))
         if pending is None or attempt is None or attempt.outcome is not None or attempt.judged:
             return []
         host = self._host_of(attempt)
-        if host is None:
-            return []
-        silent = self._silent(host, pending, attempt, now)
-        left = attempt.sent + round(LATE * self._expected(pending)) - now
-        if left > 0 or (again and not silent):
-            # The usual time grew since. Slow servers need no second look, and silent ones must not escape it.
-            return [SetTimer(left, f"{request}:{number}:again")] if silent else []
-        attempt.judged = True
-        if not again:
+        # Where the usual time grew since, there is no second look: its hedges cost more than they gained.
+        if host is not None and now - attempt.sent >= LATE * self._expected(pending):
+            attempt.judged = True
             self._fail(host, attempt, now)
-        if attempt.class_trial or silent:
-            self._fail_class(host, pending, attempt, now)
-        # The fallback starts beside it.
-        return [] if pending.answered else self._attempt(pending, now)
+            if attempt.class_trial or self._silent(host, pending, attempt, now):
+                self._fail_class(host, pending, attempt, now)
+            if not pending.answered:  # the fallback starts beside it
+                return self._attempt(pending, now)
+        return []
 
     def _settle(self, pending: Pending) -> list[Action]:
         """Nothing more is owed: call off what is out, and forget the request once all has ended."""
--- a/whinrouter/breaker.py
+++ b/whinrouter/breaker.py
@@ -11,9 +11,7 @@
 THRESHOLD = 3  # failures that open a breaker
 COOLDOWN, MAX_COOLDOWN = SECOND // 4, 20 * SECOND
 JITTER = 0.15
-# Successes that take back a failure of their class. What may be sent again does well enough where one in four
-# fails, and all that stayed away would be missed; what may not is lost with each, and goes elsewhere sooner.
-SAFE_TAKES_BACK, UNSAFE_TAKES_BACK = 2, 6
+TAKES_BACK = 2  # successes that take back a failure of their class: it opens where more than a third fail
 CLASS_COOLDOWN = 4 * SECOND  # at most: the server serves all else meanwhile, and a trial costs one request
 
 
@@ -76,9 +74,8 @@
     that it leaves get all of it: only a share of them may be open at a time.
     """
 
-    def __init__(self, random: Random, takes_back: int) -> None:
+    def __init__(self, random: Random) -> None:
         super().__init__(random)
-        self._takes_back = takes_back
         self._longest = CLASS_COOLDOWN
         self._good = 0  # successes that have taken back nothing yet
         self._missed = 0  # that waited in vain since it last served one
@@ -89,7 +86,7 @@
         missed, self._missed, self.served = self._missed, 0, now
         if self.closed:
             self._good += 1
-            if self._good >= self._takes_back:
+            if self._good >= TAKES_BACK:
                 self._take_back()
         elif trial or missed >= THRESHOLD:
             self._cooldown = min(2 * self._cooldown, self._longest)  # of the next time, unless it stays well
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from whinrouter.breaker import SAFE_TAKES_BACK, UNSAFE_TAKES_BACK, Breaker, ClassBreaker
-from whinrouter.interface import SECOND, Attempt, Effect, Outcome, RequestClass, Server
+from whinrouter.breaker import Breaker, ClassBreaker
+from whinrouter.interface import SECOND, Attempt, Outcome, RequestClass, Server
 
 FIRST_LIMIT = 8.0  # attempts a balancer may have in flight at a server it has just met
 BACK_OFF = 0.7  # by which each sign of overload cuts that limit
@@ -35,8 +35,7 @@
     def of(self, kind: RequestClass) -> ClassBreaker:
         known = self.classes.get(kind.name)
         if known is None:
-            takes_back = SAFE_TAKES_BACK if kind.effect is Effect.IDEMPOTENT else UNSAFE_TAKES_BACK
-            known = self.classes[kind.name] = ClassBreaker(self.random, takes_back)
+            known = self.classes[kind.name] = ClassBreaker(self.random)
         return known
 
     def admits(self, kind: RequestClass, now: int) -> bool:
