Let idle client connections make room from half of the limit on

A trace of the frontend (answers by status, closes, occupancy each 0.5 s): until 3 s 300 requests/s come to a gateway on 34 connections. Then each comes on a connection of its own that stays, beside some 40 connections/s that never ask; the table stands at 176 of 176 with 0 to 13 at work, and only 50 to 100 requests/s arrive, each after an eviction, of one idle for 1.24 s. Cause: clients hold a third of the descriptors at most (128 of 384) and then have no place to ask from: 128 idle ones that leave after 1.24 s are 103 requests/s, what was seen. Frontend.admit made room only at the gateway's own limit of 176, so the clients' places stayed full of idle connections while we had room. Ruled out: refusals by the module (0 to 3 in 0.5 s), error answers, queues on a connection, a lagging loop, busy connections, hosts. Now the one idle longest makes room from half of the limit on; one whose request has begun to come, or whose last answer is not written out, only at the limit as before.

--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -25,6 +25,12 @@
 # Seconds for which a connection is kept after an answer. Some clients ask once and never close, and clients
 # together have only so many connections.
 IDLE_TIME = 2.5
+# Part of the limit from which on idle connections make room for new ones. Clients may have fewer places
+# than we do, as behind an address translation, in a pool of their own or, here, by the platform's cap of a
+# third of the descriptors; those that ask once and never close would fill these, and nobody could ask while
+# we had room. It covers any pile of idle connections, leaked ones too. It could hurt where more clients
+# than this ask seldom: each then connects anew, and what crosses a close is sent twice.
+IDLE_PART = 0.5
 LINGER = 0.5  # seconds for which a client may go on sending what was rejected
 SWEEP_EVERY = 0.25  # seconds between looks at who is overdue
 BACKLOG = 512  # connections that wait in the system for their turn
@@ -78,12 +84,17 @@
     def admit(self, client: _Client) -> bool:
         """Hold no more than the limit: descriptors would run out, and connections to hosts would fail.
 
-        Whoever has waited longest without a request in work makes room: a client just opens another.
+        Whoever has waited longest without a request in work makes room: a client just opens another. Those
+        that are idle do so well before the limit.
         """
         if len(self.connections) >= self.limit:
             if not self.waiting:
                 return False
-            self.waiting.popitem(last=False)[0].drop()
+            next(iter(self.waiting)).drop()
+        elif len(self.connections) >= IDLE_PART * self.limit:
+            longest = next((other for other in self.waiting if other.idle and not other.owed), None)
+            if longest is not None:
+                longest.drop()
         self.connections.add(client)
         return True
 
@@ -180,6 +191,16 @@
             self._deaf = True
             transport.abort()
 
+    @property
+    def idle(self) -> bool:
+        """Whether it is between requests: none is owed an answer, and none has begun to come."""
+        return not (self._busy or self._queued or self._deaf or self._requests.began)
+
+    @property
+    def owed(self) -> int:
+        """Bytes of its last answer that the system has not taken yet."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
     def _wait(self, seconds: float) -> None:
         self.due = self._loop.time() + seconds
         self._front.waiting[self] = None
@@ -317,7 +338,7 @@
 
     def close_if_idle(self) -> None:
         """Close it if it is between requests; one that has begun to come is still taken."""
-        if self._busy or self._queued or self._deaf or self._requests.began or self._transport is None:
+        if not self.idle or self._transport is None:
             return
         self._deaf = True
         self._transport.close()
