Take out that lost answers are no sign of overload

Likely, not measured: with hosts of uneven speed some later request is nearly always answered in time, so that under overload time-outs no longer lower what is admitted.

--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -211,8 +211,7 @@
         actions = self._attempt(pending, now) or []
         if actions or pending.out:
             return actions
-        if now < pending.deadline:  # nothing has room; time that ran out was judged by its attempt
-            self._sign(False, now)
+        self._sign(False, now)
         return self._answer(pending)
 
     def _attempt(self, pending: Pending, now: int) -> list[Action]:
@@ -347,8 +346,9 @@
             self._count(host.info.kind, self._cost(pending), now)
         late = now - attempt.sent > TARGET * pending.kind.aim
         # Calling off what was not late yet, as when its client leaves, says nothing of the load.
-        speaks = {Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED} if late else {Outcome.OK, Outcome.TIMEOUT}
-        if attempt.outcome in speaks and not host.lost(attempt):
+        if attempt.outcome in (Outcome.OK, Outcome.TIMEOUT) or (
+            late and attempt.outcome is Outcome.CANCELLED
+        ):
             self._sign(attempt.outcome is Outcome.OK and not late, now)
         if attempt.outcome is Outcome.OK and not attempt.streams:
             host.succeed(pending.kind, attempt, now)
@@ -358,8 +358,8 @@
 
     def _judge_load(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> None:
         if attempt.outcome is Outcome.OK and now - pending.arrived <= TARGET * pending.kind.aim:
-            host.widen(attempt)
-        elif attempt.outcome is not Outcome.CANCELLED and not host.lost(attempt):
+            host.widen()
+        elif attempt.outcome is not Outcome.CANCELLED:
             host.narrow(attempt, now)
 
     def _judge_health(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> None:
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -24,7 +24,6 @@
     in_flight: int = 0
     limit: float = FIRST_LIMIT  # in flight at most; grows with answers in time, shrinks with late ones
     cut: int = 0  # when the limit was last cut
-    timely: int = 0  # when the latest sent of those was sent that were answered in time
     pace: float = 1.0  # how long its answers take, as a multiple of the usual time
     paced: int = 0
     classes: dict[str, ClassBreaker] = field(default_factory=dict)  # an entry for each class announced
@@ -43,20 +42,11 @@
         room = self.in_flight < int(self.limit)
         return room and self.breaker.admits(now) and self.of(kind).admits(now)
 
-    def widen(self, attempt: Attempt) -> None:
+    def widen(self) -> None:
         """An answer came in time: the limit grows where it is nearly reached."""
-        self.timely = max(self.timely, attempt.sent)
         if 2 * self.in_flight >= self.limit - 2:
             self.limit += min(self.limit, 1 / self.limit)
 
-    def lost(self, attempt: Attempt) -> bool:
-        """Whether it waited in vain while one sent after it was answered in time: that is no overload.
-
-        A full server lets all that queue wait; one that loses answers, or the way to it, has room still. It
-        could hurt where a full server takes the latest first, or one class first: late answers still cut it.
-        """
-        return attempt.outcome is Outcome.TIMEOUT and attempt.sent < self.timely
-
     def narrow(self, attempt: Attempt, now: int) -> None:
         """One stall delays all that is in flight: it is one sign, however many attempts it holds."""
         if attempt.sent >= self.cut:
