--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -7,12 +7,14 @@
 import math
 import socket
 from collections import OrderedDict, deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
+from itertools import islice
 
 from whinrouter.interface import SECOND, Effect, RequestClass, RequestId, Settings
 from whinrouter.net.gateway import Answer, Asked, Gateway
 from whinrouter.net.http import BadMessageError, Message, Reading, RequestReader, write_answer
+from whinrouter.net.sockets import end, readable, unread
 
 log = logging.getLogger(__name__)
 
@@ -35,6 +37,15 @@
 SWEEP_EVERY = 0.25  # seconds between looks at who is overdue
 BACKLOG = 512  # connections that wait in the system for their turn
 ACCEPTED_AT_ONCE = 16  # each takes a descriptor before anyone can count it
+# Connections that are looked at to make room for one. Those with something unread go to the end of the line,
+# so that a crowd of them costs each newcomer no more than these few looks.
+LOOKS = 8
+# Seconds past its time for which a connection with something unread is kept: the loop is late, not the peer.
+UNREAD_GRACE = 1.0
+ACCEPT_TURNS = (
+    3  # of the loop, from an accept to the connection's first call; a server closed before loses it
+)
+ACCEPT_REST = 0.5  # seconds for taking what waits to be accepted when the listener closes
 
 _TOLD_ONCE = frozenset(
     (b"x-request-id", b"x-class", b"x-deadline", b"x-key", b"x-tenant", b"x-cost-hint", b"idempotency-key")
@@ -56,6 +67,7 @@
         self.stopping = False
         self._loop = asyncio.get_running_loop()
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
 
     async def listen(self, host: str, port: int) -> int:
         """Take connections; return the port, which 0 leaves to the system."""
@@ -67,6 +79,7 @@
         listener.listen(
             BACKLOG
         )  # asyncio took the number for both, the queue and how many it accepts at once
+        self._listener = listener
         self._loop.call_later(SWEEP_EVERY, self._sweep)
         return int(listener.getsockname()[1])
 
@@ -74,8 +87,20 @@
     def ready(self) -> bool:
         return self.gateway.has_list and not self.stopping
 
+    async def accept_rest(self) -> None:
+        """Take what waits to be accepted: closing the listener would reset it, with the requests on it."""
+        quiet = 0
+        try:
+            async with asyncio.timeout(ACCEPT_REST):
+                while self._listener is not None and quiet < ACCEPT_TURNS:
+                    quiet = 0 if readable(self._listener) else quiet + 1
+                    await asyncio.sleep(0)
+        except TimeoutError:
+            log.warning("connections still came faster than they were accepted")
+
     def close(self) -> None:
         """Take no new connection, and close those that are between requests."""
+        self._listener = None
         if self._server is not None:
             self._server.close()
         for client in list(self.connections):
@@ -85,23 +110,32 @@
         """Hold no more than the limit: descriptors would run out, and connections to hosts would fail.
 
         Whoever has waited longest without a request in work makes room: a client just opens another. Those
-        that are idle do so well before the limit.
+        that are idle do so well before the limit. Nobody does who is owed a part of an answer, or from whom
+        something waits unread: it may be a whole request, which ending its connection would lose.
         """
         if len(self.connections) >= self.limit:
-            if not self.waiting:
+            if not self._make_room(lambda other: other.gives_way):
                 return False
-            next(iter(self.waiting)).drop()
         elif len(self.connections) >= IDLE_PART * self.limit:
-            longest = next((other for other in self.waiting if other.idle and not other.owed), None)
-            if longest is not None:
-                longest.drop()
+            self._make_room(lambda other: other.idle)
         self.connections.add(client)
         return True
 
+    def _make_room(self, gives_way: Callable[[_Client], bool]) -> bool:
+        """Close the one that has waited longest of those that may go; False if none of the first few may."""
+        may_go = (other for other in self.waiting if gives_way(other) and not other.owed)
+        for other in list(islice(may_go, LOOKS)):
+            if other.dispensable:
+                other.drop()
+                return True
+            self.waiting.move_to_end(other)
+        return False
+
     def _sweep(self) -> None:
         now = self._loop.time()
         for client in [client for client in self.waiting if client.due <= now]:
-            client.run_out()
+            if client.dispensable or client.due + UNREAD_GRACE <= now:
+                client.run_out()
         self._loop.call_later(SWEEP_EVERY, self._sweep)
 
     def asked(self, message: Message) -> Asked:
@@ -201,6 +235,16 @@
         """Bytes of its last answer that the system has not taken yet."""
         return self._transport.get_write_buffer_size() if self._transport is not None else 0
 
+    @property
+    def gives_way(self) -> bool:
+        """Whether ending it loses no request that is whole, as far as was read."""
+        return not (self._busy or self._queued)
+
+    @property
+    def dispensable(self) -> bool:
+        """Whether nothing waits unread, nor will be read."""
+        return self._deaf or self._transport is None or not unread(self._transport)
+
     def _wait(self, seconds: float) -> None:
         self.due = self._loop.time() + seconds
         self._front.waiting[self] = None
@@ -334,14 +378,17 @@
         self._front.waiting.pop(self, None)
         self._deaf = True
         if self._transport is not None:
-            self._transport.abort()
+            end(self._transport)
 
     def close_if_idle(self) -> None:
         """Close it if it is between requests; one that has begun to come is still taken."""
-        if not self.idle or self._transport is None:
+        if not self.idle or not self.dispensable or self._transport is None:
             return
         self._deaf = True
-        self._transport.close()
+        if self.owed:
+            self._transport.close()
+        else:
+            end(self._transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._front.connections.discard(self)
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import logging
-import select
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from whinrouter.interface import Outcome, ServerId, State
 from whinrouter.net.discovery import Member
 from whinrouter.net.http import Message, Reading, ResponseReader, write_request
+from whinrouter.net.sockets import unread
 
 log = logging.getLogger(__name__)
 
@@ -90,11 +90,7 @@
 
     def quiet(self) -> bool:
         """Whether nothing has come since the last answer: neither the end of it all nor stray bytes wait."""
-        if self._transport is None or self._transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket"), select.POLLIN)
-        return not poll.poll(0)
+        return self._transport is not None and self.usable and not unread(self._transport)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
