Degrade at the process's own limit: turn old requests away unread, finish what has begun

- whinrouter/ownlimit.py decides, told times and no more: controlled delay (RFC 8289) on how old requests are when they are read, which Linux tells of each socket (TCP_INFO).
At the limit what waited over 40 ms (for an aim of 400) is refused unread where its end is plain; first with the advice when to come back, if settings allow it.
- AttemptEnded says how long an answer lay here unread: it cuts no limit and no share any more.

--- a/whinrouter/__main__.py
+++ b/whinrouter/__main__.py
@@ -14,27 +14,29 @@
 from whinrouter.interface import SECOND
 from whinrouter.net.config import Config, ConfigError, load, reload
 from whinrouter.net.discovery import Discovery
+from whinrouter.net.door import Door
 from whinrouter.net.frontend import Frontend
 from whinrouter.net.gateway import Gateway
 from whinrouter.net.upstream import Upstream
+from whinrouter.ownlimit import OwnLimit
 
 log = logging.getLogger("whinrouter")
 
 RESERVED = 32  # descriptors for all that is no client's and no host's connection, or not counted yet
 STILL_ACCEPTING = 0.5  # seconds for which connections go on coming after SIGTERM
 LAG_STEP, LAG_SHOWN = 0.1, 0.05
-# New objects between two looks of the collector. What a request makes is freed as it ends; cycles are rare, and
-# with Python's own 700 it cost up to a tenth of all CPU.
+# New objects between two looks of the collector. What a request makes is freed as it ends, and cycles are
+# rare: with Python's own 700 it cost up to a tenth of all CPU.
 GC_EVERY = 20_000
 SELDOM = 1.0  # seconds between two log lines of a kind
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, door: Door) -> None:
     half = max(1, (config.sockets - RESERVED) // 2)
     upstream = Upstream(config.connect_time, config.idle_time, half)
     gateway = Gateway(Balancer(config.settings, config.seed), upstream)
     gateway.list_hosts(config.known, stale=True)
-    frontend = Frontend(gateway, config.settings, half)
+    frontend = Frontend(gateway, config.settings, half, door)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -137,7 +139,10 @@
     for handler in logging.getLogger().handlers:
         handler.addFilter(_Seldom())
     try:
-        asyncio.run(serve(load(os.environ)))
+        config = load(os.environ)
+        door = Door(OwnLimit(kind.aim / SECOND for kind in config.settings.classes))
+        with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(door)) as runner:
+            runner.run(serve(config, door))
     except ConfigError as error:
         print(f"whinrouter: {error}", file=sys.stderr)
         return 2
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -322,7 +322,7 @@
         host = self._host_of(attempt)
         if host is not None:
             host.in_flight = max(0, host.in_flight - 1)
-            self._judge(host, pending, attempt, now)
+            self._judge(host, pending, attempt, now, now - event.waited)
         if not event.answered and not pending.answered:
             return self._advance(pending, now)
         return self._settle(pending)
@@ -347,8 +347,8 @@
         host = self._hosts.get(attempt.server.id)
         return host if host is not None and host.info.started == attempt.server.started else None
 
-    def _judge(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> None:
-        outcome, taken = attempt.outcome, now - attempt.sent
+    def _judge(self, host: Host, pending: Pending, attempt: Attempt, now: int, ended: int) -> None:
+        outcome, taken = attempt.outcome, ended - attempt.sent
         late = taken > TARGET * pending.kind.aim
         served = outcome is Outcome.OK and not attempt.streams
         if served:
@@ -359,7 +359,7 @@
         if served:
             host.succeed(pending.kind, attempt, now)
         if not attempt.judged:  # else its verdict is given
-            self._judge_load(host, pending, attempt, now)
+            self._judge_load(host, pending, attempt, now, ended)
             if not served:
                 self._judge_health(host, pending, attempt, now)
 
@@ -371,8 +371,8 @@
         self._usual[name] = usual = max(1 / cost, usual * STEP if taken / cost > usual else usual / STEP)
         self._count(host.info.kind, pending.request.cost or usual, now)
 
-    def _judge_load(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> None:
-        if attempt.outcome is Outcome.OK and now - pending.arrived <= TARGET * pending.kind.aim:
+    def _judge_load(self, host: Host, pending: Pending, attempt: Attempt, now: int, ended: int) -> None:
+        if attempt.outcome is Outcome.OK and ended - pending.arrived <= TARGET * pending.kind.aim:
             host.widen()
         elif attempt.outcome is not Outcome.CANCELLED:
             host.narrow(attempt, now)
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -193,6 +193,7 @@
     latency: int
     answered: bool  # the client has its final answer
     load: dict[str, float] | None = None
+    waited: int = 0  # time that the answer lay here unread: no slowness of the server's
 
 
 class RequestGone(NamedTuple):
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -5,16 +5,20 @@
 import asyncio
 import logging
 import math
+import re
 import socket
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from http import HTTPStatus
 from itertools import islice
+from random import Random
 
 from whinrouter.interface import SECOND, Effect, RequestClass, RequestId, Settings
+from whinrouter.net.door import Door
 from whinrouter.net.gateway import Answer, Asked, Gateway
 from whinrouter.net.http import BadMessageError, Message, Reading, RequestReader, write_answer
-from whinrouter.net.sockets import end, readable, unread
+from whinrouter.net.sockets import age, end, left, readable, unread
+from whinrouter.ownlimit import OwnLimit
 
 log = logging.getLogger(__name__)
 
@@ -33,6 +37,8 @@
 # we had room. It covers any pile of idle connections, leaked ones too. It could hurt where more clients
 # than this ask seldom: each then connects anew, and what crosses a close is sent twice.
 IDLE_PART = 0.5
+MAX_PLAIN = 4096  # bytes of a request that may be refused without being parsed
+COME_BACK = (0.2, 0.6)  # seconds after which those are to come back, spread: some intervals of ownlimit.py
 LINGER = 0.5  # seconds for which a client may go on sending what was rejected
 SWEEP_EVERY = 0.25  # seconds between looks at who is overdue
 BACKLOG = 512  # connections that wait in the system for their turn
@@ -47,6 +53,9 @@
 )
 ACCEPT_REST = 0.5  # seconds for taking what waits to be accepted when the listener closes
 
+_FRAMED = re.compile(
+    rb"\n(?:content-length|transfer-encoding|expect|upgrade|connection)[ \t]*:", re.IGNORECASE
+)
 _ACTED_ON = frozenset(
     (
         b"x-request-id",
@@ -64,8 +73,13 @@
 class Frontend:
     """The listener and its connections."""
 
-    def __init__(self, gateway: Gateway, settings: Settings, limit: int) -> None:
+    def __init__(self, gateway: Gateway, settings: Settings, limit: int, door: Door | None = None) -> None:
+        """`door`: the selector of this loop, if it knows of the process's own limit."""
         self.gateway = gateway
+        self.own = door.own if door else OwnLimit(kind.aim / SECOND for kind in settings.classes)
+        self.door = door
+        self._advises = settings.retry_after
+        self._random = Random()
         self._classes = {kind.name.encode(): kind for kind in settings.classes}
         self.limit = limit  # connections at most
         self.connections: set[_Client] = set()
@@ -89,6 +103,8 @@
             BACKLOG
         )  # asyncio took the number for both, the queue and how many it accepts at once
         self._listener = listener
+        if self.door is not None:
+            self.door.listeners.add(listener.fileno())
         self._loop.call_later(SWEEP_EVERY, self._sweep)
         return int(listener.getsockname()[1])
 
@@ -109,6 +125,8 @@
 
     def close(self) -> None:
         """Take no new connection, and close those that are between requests."""
+        if self._listener is not None and self.door is not None:
+            self.door.listeners.discard(self._listener.fileno())
         self._listener = None
         if self._server is not None:
             self._server.close()
@@ -147,6 +165,13 @@
                 client.run_out()
         self._loop.call_later(SWEEP_EVERY, self._sweep)
 
+    def turned_away(self) -> bytes:
+        """The answer to a request that waited too long unread: nobody has heard of it."""
+        if not self._advises:
+            return write_answer(503, [], b"", False)
+        after = self._random.uniform(*COME_BACK)
+        return write_answer(503, [(b"retry-after", b"%.3f" % after)], b"", False)
+
     def asked(self, message: Message) -> Asked:
         """What a request asks for; BadMessageError if it asks for nothing that there is."""
         told = _told_once(message)
@@ -215,6 +240,7 @@
         self._deaf = False  # whatever comes now is not read any more
         self._crowded = False  # it sent too much ahead
         self._unread = False  # the client does not take what was written to it
+        self._descriptor = -1
         self._begun = 1  # the message whose time to come runs: the first, from the connection's start
         self._counted = 0  # its part of what all have buffered
         self.due = 0.0  # loop time at which it has waited long enough
@@ -222,6 +248,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if self._front.door is not None:
+            self._descriptor = transport.get_extra_info("socket").fileno()
+            self._front.door.clients.add(self._descriptor)
         if self._front.admit(self):
             self._wait(RECEIVE_TIME)
         else:
@@ -257,7 +286,13 @@
         if self._deaf:
             return
         reader = self._requests
-        self._queued.extend(reader.feed(data))
+        came = self._came(data)
+        if came is None:
+            return
+        messages = reader.feed(data)
+        for message in messages:
+            message.came = came
+        self._queued.extend(messages)
         if reader.size or self._counted or len(self._queued) > 1:  # else all of it begins now, or is idle
             self._count()
         if reader.error is not None:
@@ -268,6 +303,29 @@
             self._next()
             self._note_begun()
 
+    def _came(self, data: memoryview) -> float | None:
+        """The loop time at which these bytes were here; None if nothing more is to be done with them."""
+        assert self._transport is not None
+        now, waited = self._loop.time(), age(self._transport)
+        begins = not (self._busy or self._queued or self._requests.began)
+        if begins and self._front.own.waited(waited, now) and self._turn_away_unread(data):
+            return None
+        if waited > self._front.own.target and left(self._transport):
+            self.drop()  # its client has gone meanwhile: all that it could cause is work for nobody
+            return None
+        return now - waited
+
+    def _turn_away_unread(self, data: memoryview) -> bool:
+        """Refuse a whole request without a look into it, if it is plain enough that its end is sure."""
+        text = bytes(data[: MAX_PLAIN + 1])
+        if len(text) > MAX_PLAIN or not text.startswith(b"GET /") or text.find(b"\r\n\r\n") != len(text) - 4:
+            return False
+        if text.startswith(b"GET /up ") or _FRAMED.search(text) or self._transport is None:
+            return False
+        self._transport.write(self._front.turned_away())
+        self._wait(IDLE_TIME)
+        return True
+
     def _count(self) -> None:
         held = sum(len(message.body) for message in self._queued) + self._requests.size
         self._front.buffered += held - self._counted
@@ -338,7 +396,8 @@
             raise BadMessageError(HTTPStatus.BAD_REQUEST, "the id is in use")
         self._id = name
         self._front.open_ids.add(name)
-        request = self._front.gateway.take(asked, self._reply)
+        waited = max(0.0, self._loop.time() - message.came)
+        request = self._front.gateway.take(asked, self._reply, waited)
         if self._busy:  # it may have its answer already
             self._request = request
 
@@ -398,6 +457,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._front.connections.discard(self)
+        if self._front.door is not None:
+            self._front.door.clients.discard(self._descriptor)
         self._front.waiting.pop(self, None)
         self._front.buffered -= self._counted
         self._counted = 0
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -64,7 +64,7 @@
 class _Held:
     """A request with its answer owed, or attempts out."""
 
-    __slots__ = ("deadline", "message", "reply", "request", "sent", "timer")
+    __slots__ = ("deadline", "message", "reply", "request", "sent", "spared", "timer")
 
     def __init__(
         self, request: RequestId, message: Message, reply: Callable[[Answer], None], deadline: int
@@ -74,6 +74,7 @@
         self.reply: Callable[[Answer], None] | None = reply  # None once it has its answer, or the client left
         self.deadline = deadline
         self.timer: Timer | None = None
+        self.spared = False  # its time was up while an answer lay unread
         self.sent: list[Attempt | None] = []  # by number; None once it has ended
 
 
@@ -112,11 +113,18 @@
         self.has_list = self.has_list or bool(told.members)
         self._feed(ServerList(update, tuple(member.server for member in told.members)))
 
-    def take(self, asked: Asked, reply: Callable[[Answer], None]) -> RequestId:
-        """A client asks; `reply` is called exactly once, unless it leaves."""
+    def take(self, asked: Asked, reply: Callable[[Answer], None], waited: float = 0.0) -> RequestId:
+        """A client asks, whose request has waited here for so many seconds.
+
+        `reply` is called exactly once, unless the client leaves.
+        """
         self._last = request = self._last + 1
         message, class_name, timeout, cost, key, retry, tenant, _ = asked
-        timeout = max(1, timeout - MARGIN)
+        lay = round(waited * SECOND)
+        if lay and timeout <= lay + MARGIN:  # its time is up, and no host has heard of it
+            reply(Answer(503))
+            return request
+        timeout = max(1, timeout - lay - MARGIN)
         now = self._clock.now()
         held = _Held(request, message, reply, now + timeout)
         self._held[request] = held
@@ -189,7 +197,15 @@
         held = self._held.get(request)
         attempt = held.sent[number] if held is not None else None
         if attempt is not None:
-            attempt.timer = self._timers.call_later(delay / SECOND, self._feed, TimerFired(token))
+            fired = TimerFired(token)
+            attempt.timer = self._timers.call_later(delay / SECOND, self._fire, attempt, fired, True)
+
+    def _fire(self, attempt: Attempt, event: TimerFired, first: bool) -> None:
+        """Tell the module that an attempt is still out; first have what lies here unread read."""
+        if first and attempt.unread:
+            attempt.timer = self._timers.call_later(0, self._fire, attempt, event, False)
+        else:
+            self._feed(event)
 
     def _send(self, held: _Held, server: ServerId, expires: int, now: int) -> None:
         number = len(held.sent)
@@ -213,11 +229,19 @@
             reply, held.reply = held.reply, None
             reply(Answer(200, answer.headers, answer.body))
         latency = round((self._loop.time() - attempt.started) * SECOND)
-        self._tell(held, attempt.number, attempt.host.member.server.id, outcome, latency)
-
-    def _tell(self, held: _Held, number: int, server: ServerId, outcome: Outcome, latency: int) -> None:
-        answered = held.reply is None
-        event = AttemptEnded(held.request, number, server, outcome, latency, answered)
+        self._tell(held, attempt.number, attempt.host.member.server.id, outcome, latency, attempt.waited)
+
+    def _tell(
+        self,
+        held: _Held,
+        number: int,
+        server: ServerId,
+        outcome: Outcome,
+        latency: int,
+        waited: float = 0.0,
+    ) -> None:
+        answered, lay = held.reply is None, round(waited * SECOND)
+        event = AttemptEnded(held.request, number, server, outcome, latency, answered, None, lay)
         self._feed(event, held.request)
 
     def _answer(self, request: RequestId, answer: Answer) -> None:
@@ -244,6 +268,10 @@
         if early > 0:  # the loop's clock is coarser; the module must see that the time is up
             held.timer = self._timers.call_later(early / SECOND, self._expire, held)
             return
+        if not held.spared and any(attempt is not None and attempt.unread for attempt in held.sent):
+            held.spared = True  # an answer is here: one more turn of the loop, and it is the client's
+            held.timer = self._timers.call_later(0, self._expire, held)
+            return
         for attempt in list(held.sent):
             if attempt is not None:
                 _time_out(attempt)
--- a/whinrouter/net/http.py
+++ b/whinrouter/net/http.py
@@ -61,6 +61,7 @@
     headers: Headers = field(default_factory=list)  # names in lower case
     body: bytes = b""
     keep_alive: bool = True
+    came: float = 0.0  # loop time at which its last bytes were here, read or not
     passed: bytes = b""  # what hosts get of its head, once it was sent to one
 
     def get(self, name: bytes) -> str | None:
--- a/whinrouter/net/sockets.py
+++ b/whinrouter/net/sockets.py
@@ -6,8 +6,13 @@
 import contextlib
 import select
 import socket
+import sys
 from collections.abc import Callable
 
+_TCP_INFO = getattr(socket, "TCP_INFO", None) if sys.platform == "linux" else None
+_LAST_RECEIVED, _INFO_SIZE = 52, 56  # the field's place in struct tcp_info, and the end of what is read
+_GONE = getattr(select, "POLLRDHUP", select.POLLHUP)
+
 
 def unread(transport: asyncio.BaseTransport) -> bool:
     """Whether bytes, or the peer's end of the connection, wait in the system, as when the loop runs late.
@@ -24,12 +29,34 @@
 
 
 def poller(endpoint: socket.socket) -> Callable[[float], list[tuple[int, int]]]:
-    """What `readable` asks, for one that is asked often: called with 0, it gives what waits, as a list."""
+    """What `readable` asks, for one that is asked often: called with 0, it gives a list of what waits."""
     poll = select.poll()
     poll.register(endpoint, select.POLLIN)
     return poll.poll
 
 
+def age(transport: asyncio.BaseTransport) -> float:
+    """Seconds since the peer's last bytes came, to a millisecond; 0.0 where the system does not tell.
+
+    It is tcpi_last_data_recv of Linux's TCP_INFO (linux/tcp.h), which counts from the connection's start
+    while nothing has come. Unix sockets and other systems have none.
+    """
+    if _TCP_INFO is None:
+        return 0.0
+    try:
+        told: bytes = transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, _TCP_INFO, _INFO_SIZE)
+    except (OSError, AttributeError):
+        return 0.0
+    return int.from_bytes(told[_LAST_RECEIVED:_INFO_SIZE], sys.byteorder) / 1000
+
+
+def left(transport: asyncio.BaseTransport) -> bool:
+    """Whether the peer has ended its side, though bytes of it may wait unread before that end."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket"), _GONE)
+    return bool(poll.poll(0))
+
+
 def end(transport: asyncio.Transport) -> None:
     """Close now.
 
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -11,11 +11,12 @@
 from whinrouter.interface import Outcome, ServerId, State
 from whinrouter.net.discovery import Member
 from whinrouter.net.http import Message, Reading, ResponseReader, write_request
-from whinrouter.net.sockets import poller
+from whinrouter.net.sockets import age, poller
 from whinrouter.net.wheel import Timer
 
 log = logging.getLogger(__name__)
 
+QUICK = 0.005  # seconds within which an answer is not asked how long it lay unread
 SWEEP_EVERY = 0.25  # seconds between looks at idle connections; a fraction of IDLE_MARGIN
 IDLE_MARGIN = 2.0  # seconds before the host's own limit at which an idle connection is dropped
 
@@ -44,6 +45,7 @@
         "started",
         "task",
         "timer",
+        "waited",
     )
 
     def __init__(
@@ -58,6 +60,7 @@
         self._ended: Ended | None = ended
         self.connection: _Connection | None = None
         self.task: asyncio.Task[None] | None = None
+        self.waited = 0.0  # seconds for which its answer lay here unread
         self.timer: Timer | None = None  # of whoever sends: needless once this has ended
 
     @property
@@ -69,6 +72,11 @@
         """Whether the host may have the last byte."""
         return self.connection is not None and self.connection.written
 
+    @property
+    def unread(self) -> bool:
+        """Whether something of its answer, or its connection's end, is here and was not read yet."""
+        return self.connection is not None and not self.connection.quiet()
+
     def text(self, now: float) -> bytes:
         return write_request(self.message, max(0.0, self.expires - now))
 
@@ -157,10 +165,12 @@
         attempt, self._attempt = self._attempt, None
         assert attempt is not None
         attempt.connection = None
-        host = self._host
+        host, now = self._host, self._pool.now()
+        if self._transport is not None and now - attempt.started > QUICK:
+            attempt.waited = min(age(self._transport), now - attempt.started)
         if answer.keep_alive and clean and host.ready and self.usable:
             # Idle until the next attempt, but not until the host closes it: a request could cross that.
-            self.idle_since = self._pool.now()
+            self.idle_since = now
             host.idle.append(self)
         else:
             self.drop()
--- /dev/null
+++ b/whinrouter/ownlimit.py
@@ -0,0 +1,82 @@
+"""Whether the process is at its own limit, and what it then takes on.
+
+One loop does all the work, in turns: it looks at its sockets, then handles what came. With no CPU left what
+comes waits in the sockets, longer with every turn, until each request is answered too late to be of use while
+all of the CPU is spent: a queue that stands. The sign is not how long the loop works (a turn may be long and
+nothing wait) but how old requests are when they are read. The rule is that of controlled delay (CoDel, RFC
+8289, in the form that servers use at their door): a queue that empties now and then only evens out a burst,
+and one in which even the luckiest request of an interval waited stands.
+
+    free --the least wait of an interval was above TARGET--> at the limit
+    at the limit --an interval in which it was not, and nobody was turned away--> free
+
+At the limit a request that has waited longer than `patience` is turned away unread; few requests are read a
+turn, so that answers and the events of what has begun come first; and connections are accepted now and then,
+as each costs as much as a request. What is decided about a request that was taken, the module decides.
+
+It is told times, reads no clock and does no I/O. Times are seconds of one clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+# Seconds over which the least wait is taken: longer than the 100 ms in which a container that has used up its
+# part of a core gets its next one, or each of these pauses would count.
+INTERVAL = 0.15
+# Part of the shortest aim that a standing queue may cost. Answers have the rest.
+TARGET_PART = 0.05
+LEAST_TARGET = 0.01  # seconds; a loop in good health may have turns of this length
+PATIENCE = 2.0  # targets that a request may have waited at the limit; RFC 8289 calls the excess a sign
+# Requests that are read a turn at the limit. So many cost a few milliseconds, after which answers are next.
+READS_A_TURN = 16
+ACCEPT_EVERY = 0.01  # seconds between accepts at the limit; a turn of accepts is a fraction of this
+
+
+class OwnLimit:
+    """The state of one process. It holds some numbers."""
+
+    def __init__(self, aims: Iterable[float]) -> None:
+        """`aims`: the times within which the classes want their answers, in seconds."""
+        self.target = max(LEAST_TARGET, TARGET_PART * min(aims))
+        self.reached = False  # whether it is at its limit
+        self._least: float | None = None  # wait in this interval
+        self._turned = False  # whether any was turned away in it
+        self._ends = 0.0  # of this interval
+        self._accepted = 0.0  # when connections were last accepted
+
+    @property
+    def patience(self) -> float:
+        """Seconds that a request may have waited unread."""
+        return PATIENCE * self.target
+
+    def waited(self, seconds: float, now: float) -> bool:
+        """A request is read that waited so long; whether it is to be turned away for it."""
+        self.passes(now)
+        if self._least is None or seconds < self._least:
+            self._least = seconds
+        turned = self.reached and seconds > self.patience
+        self._turned = self._turned or turned
+        return turned
+
+    def passes(self, now: float) -> None:
+        """Time passes: an interval may end, also with nobody asking."""
+        if now < self._ends:
+            return
+        # To turn away is to make the others wait less: that is no sign that the load has fallen. Were it
+        # taken for one, every other interval would let the queue grow again. But of a whole interval in which
+        # nobody asked, nothing is known but that nobody waited.
+        stands = self._turned or (self._least is not None and self._least > self.target)
+        self.reached = stands and now < self._ends + INTERVAL
+        self._least, self._turned, self._ends = None, False, now + INTERVAL
+
+    def reads(self) -> int | None:
+        """How many clients may be read from in this turn; None: all."""
+        return READS_A_TURN if self.reached else None
+
+    def accepts(self, now: float) -> bool:
+        """Whether connections may be accepted in this turn."""
+        if self.reached and now < self._accepted + ACCEPT_EVERY:
+            return False
+        self._accepted = now
+        return True
