End a refused connection at the own limit, and accept less often there

Cause: with connections kept after a refusal each client asked again at once. A refused request now ends its connection, and at the limit connections are accepted every 100 ms or where there is no other work: what is too much waits in the system, where it costs nothing. What a request may have waited is a quarter of the aim, not a tenth.

--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -168,9 +168,9 @@
     def turned_away(self) -> bytes:
         """The answer to a request that waited too long unread: nobody has heard of it."""
         if not self._advises:
-            return write_answer(503, [], b"", False)
+            return write_answer(503, [], b"", True)
         after = self._random.uniform(*COME_BACK)
-        return write_answer(503, [(b"retry-after", b"%.3f" % after)], b"", False)
+        return write_answer(503, [(b"retry-after", b"%.3f" % after)], b"", True)
 
     def asked(self, message: Message) -> Asked:
         """What a request asks for; BadMessageError if it asks for nothing that there is."""
@@ -322,8 +322,10 @@
             return False
         if text.startswith(b"GET /up ") or _FRAMED.search(text) or self._transport is None:
             return False
+        # Kept, it would ask again at once; anew, it waits to be accepted, which costs nothing here.
         self._transport.write(self._front.turned_away())
-        self._wait(IDLE_TIME)
+        self._stop_reading()
+        self._transport.close()
         return True
 
     def _count(self) -> None:
--- a/whinrouter/ownlimit.py
+++ b/whinrouter/ownlimit.py
@@ -27,10 +27,10 @@
 # Part of the shortest aim that a standing queue may cost. Answers have the rest.
 TARGET_PART = 0.05
 LEAST_TARGET = 0.01  # seconds; a loop in good health may have turns of this length
-PATIENCE = 2.0  # targets that a request may have waited at the limit; RFC 8289 calls the excess a sign
+PATIENCE = 5.0  # targets that a request may have waited at the limit
 # Requests that are read a turn at the limit. So many cost a few milliseconds, after which answers are next.
 READS_A_TURN = 16
-ACCEPT_EVERY = 0.01  # seconds between accepts at the limit; a turn of accepts is a fraction of this
+ACCEPT_EVERY = 0.1  # seconds between accepts at the limit; a turn of accepts is a fraction of this
 
 
 class OwnLimit:
