--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -97,6 +97,24 @@
         assert [int(part[:3]) for part in seen.split(b"HTTP/1.1 ")[1:]] == statuses
 
 
+@scenario
+async def test_a_request_behind_one_that_is_refused_is_not_lost() -> None:
+    async with peers(says()) as (host,), running(host.member()) as proxy:
+        client = await proxy.client()
+        await until(lambda: proxy.frontend.connections)
+        (connection,) = proxy.frontend.connections
+
+        def late(seconds: float, now: float) -> bool:
+            client.writer.write(request_text("chapter-buy"))  # it comes while the one before it is judged
+            proxy.frontend.own.waited = lambda seconds, now: False  # type: ignore[method-assign]
+            return True
+
+        proxy.frontend.own.waited = late  # type: ignore[method-assign]
+        assert (await client.ask()).status == 200
+        assert (await client.answer()).status == 200
+        assert not connection._deaf
+
+
 @pytest.mark.parametrize("advises", [True, False])
 @scenario
 async def test_advice_is_spread_where_settings_allow_it(advises: bool) -> None:
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -322,6 +322,8 @@
             return False
         if text.startswith(b"GET /up ") or _FRAMED.search(text) or self._transport is None:
             return False
+        if unread(self._transport):  # to close over another request would lose it
+            return False
         # Kept, it would ask again at once; anew, it waits to be accepted, which costs nothing here.
         self._transport.write(self._front.turned_away())
         self._stop_reading()
