--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -38,9 +38,8 @@
             idle.append((connected - before) / CLIENTS)
             held.append((asked - connected) / CLIENTS)
     # Memory that a first round has left free is used by the next: the first alone shows what is needed.
-    print(
-        f"an idle client: {idle[0]:.1f} KiB; a request in work, with a connection to a host: {held[0]:.1f} KiB"
-    )
+    print(f"an idle client: {idle[0]:.1f} KiB")
+    print(f"a request in work, with a connection to a host: {held[0]:.1f} KiB more")
 
 
 if __name__ == "__main__":
