--- a/tests/peers.py
+++ b/tests/peers.py
@@ -15,6 +15,7 @@
 from whinrouter.balance import Balancer
 from whinrouter.interface import MS, Effect, RequestClass, Server, Settings
 from whinrouter.net.discovery import HostList, Member, number
+from whinrouter.net.door import Door
 from whinrouter.net.frontend import Frontend
 from whinrouter.net.gateway import Gateway
 from whinrouter.net.http import Message, RequestReader, ResponseReader, write_answer
@@ -228,7 +229,11 @@
 
 @asynccontextmanager
 async def running(
-    *members: Member, settings: Settings = SETTINGS, idle_time: float = 60.0, limit: int = 100
+    *members: Member,
+    settings: Settings = SETTINGS,
+    idle_time: float = 60.0,
+    limit: int = 100,
+    door: Door | None = None,
 ) -> AsyncIterator[Running]:
     """A gateway in this loop, on a free port, with these hosts on its list."""
     upstream = Upstream(1.0, idle_time, limit)
@@ -236,7 +241,7 @@
     gateway = Gateway(balancer, upstream)
     if members:
         gateway.list_hosts(HostList(1, True, members))
-    frontend = Frontend(gateway, settings, limit)
+    frontend = Frontend(gateway, settings, limit, door)
     port = await frontend.listen("127.0.0.1", 0)
     try:
         yield Running(gateway, upstream, frontend, balancer, port)
--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -32,6 +32,8 @@
 from whinrouter.balance import Balancer
 from whinrouter.interface import MS, AttemptEnded, Event, Outcome, Request, Send, Server, ServerList, Update
 from whinrouter.net import frontend
+from whinrouter.net.door import Door
+from whinrouter.ownlimit import OwnLimit
 
 PAUSE = 0.06  # seconds for which a loop is held up here: some targets
 
@@ -227,6 +229,37 @@
     assert well[1] == 1.0
 
 
+def test_clients_that_are_here_go_before_a_crowd_that_wants_to_connect(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """At the limit, with a door for the loop's selector, as the program has it."""
+    door = Door(OwnLimit([0.4]))
+    door.own.reached = True
+    monkeypatch.setattr(door.own, "passes", lambda now: None)
+
+    async def test() -> None:
+        async with peers(silent, silent) as hosts, running(*(h.member() for h in hosts), door=door) as proxy:
+            kept = [await proxy.client() for _ in range(8)]
+            await until(lambda: len(proxy.frontend.connections) == len(kept))
+            crowd = []
+            for _ in range(48):
+                crowd.append(socket.create_connection(("127.0.0.1", proxy.port)))
+                crowd[-1].sendall(request_text())
+            for client in kept:
+                client.writer.write(request_text("chapter-buy"))
+            await until(lambda: proxy.gateway.holds >= len(kept))
+            first = [held.message.method for held in proxy.gateway._held.values()][: len(kept)]
+            assert first == [b"POST"] * len(kept)
+            await until(lambda: len(proxy.frontend.connections) == len(kept) + len(crowd))
+            for endpoint in crowd:
+                endpoint.close()
+            for client in kept:
+                client.close()
+
+    with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(door)) as runner:
+        runner.run(asyncio.wait_for(test(), 2 * GENEROUS))
+
+
 def _free_port() -> int:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
