Bound a head that comes behind a whole message in the same read

Since heads are bounded once they are whole, by the bytes since the last message, one of up to 64 KiB passed if a whole message stood before it in the same read, where 16 KiB is the limit. The bytes of the read count too; the test fails without. Two comments stand in their place again.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -59,6 +59,15 @@
         assert len(host.requests) == 1
 
 
+def test_a_large_head_behind_a_whole_message_is_noticed_too() -> None:
+    """Both come in one read, and the first takes the count of bytes back to nothing."""
+    reader = RequestReader()
+    large = b"GET /a HTTP/1.1\r\n" + b"X-Pad: aaaaaaaaaaaaaa\r\n" * 1000 + b"\r\n"
+    assert len(reader.feed(request_text() + large)) == 1
+    assert reader.error is not None
+    assert reader.error.status == 431
+
+
 @scenario
 async def test_a_client_still_sending_too_much_gets_its_answer() -> None:
     async with running() as proxy:
--- a/whinrouter/net/door.py
+++ b/whinrouter/net/door.py
@@ -22,9 +22,8 @@
     def __init__(self, own: OwnLimit) -> None:
         super().__init__()
         self.own = own
-        self.clients: set[int] = (
-            set()
-        )  # descriptors of their connections, from their first call to their last
+        # Descriptors of clients' connections, from each one's first call to its last.
+        self.clients: set[int] = set()
         self.listeners: set[int] = set()
 
     def select(self, timeout: float | None = None) -> Events:
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -48,9 +48,8 @@
 LOOKS = 8
 # Seconds past its time for which a connection with something unread is kept: the loop is late, not the peer.
 UNREAD_GRACE = 1.0
-ACCEPT_TURNS = (
-    3  # of the loop, from an accept to the connection's first call; a server closed before loses it
-)
+# Turns of the loop from an accept to the connection's first call; a server closed before that loses it.
+ACCEPT_TURNS = 3
 ACCEPT_REST = 0.5  # seconds for taking what waits to be accepted when the listener closes
 
 _FRAMED = re.compile(
--- a/whinrouter/net/http.py
+++ b/whinrouter/net/http.py
@@ -80,6 +80,7 @@
         self.began = False  # a part of a message has come
         self.count = 0  # messages that have begun
         self.size = 0  # bytes since the last whole message, at most
+        self._read = 0  # bytes of the read that is fed
         self.error: BadMessageError | None = None  # what is wrong with what follows the whole messages
         self._messages: list[Message] = []
         self._target = b""
@@ -91,7 +92,8 @@
     def feed(self, data: bytes | memoryview) -> list[Message]:
         """Take what came in; return the messages that are now whole. After an `error` nothing may follow."""
         self._messages = []
-        self.size += len(data)
+        self._read = len(data)
+        self.size += self._read
         try:
             self._parser.feed_data(data)
             self._bound()
@@ -136,7 +138,8 @@
 
     def on_headers_complete(self) -> None:
         self._in_head = False
-        if self.size > MAX_HEAD and self._head_size() > MAX_HEAD:
+        # The read may hold a message before this one, which took the count of bytes back to nothing.
+        if max(self.size, self._read) > MAX_HEAD and self._head_size() > MAX_HEAD:
             raise BadMessageError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
         if self._parser.get_http_version() not in _VERSIONS:
             raise BadMessageError(HTTPStatus.HTTP_VERSION_NOT_SUPPORTED, "this is not HTTP/1")
