--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -4,7 +4,9 @@
     python -m benchmarks.cost --quick             the first row alone
     python -m benchmarks.cost --project FOLDER    the gateway of another checkout
 
-The two are measured in turn, some rounds each; the median counts: other load on the machine raises both.
+The gateway is started as it was built last (deploy/build), or from its sources where it was not built or the
+environment says COPPERLEAD_SOURCES=1. The two are measured in turn, some rounds each; the median
+counts: other load on the machine raises both.
 """
 
 from __future__ import annotations
--- a/benchmarks/farm.py
+++ b/benchmarks/farm.py
@@ -267,6 +267,18 @@
         return int(served), int(others)
 
 
+def gateway_command(project: Path) -> list[str]:
+    """How to start the gateway of a checkout: as it was built last, else from its sources.
+
+    In the environment COPPERLEAD_SOURCES=1 takes the sources of any.
+    """
+    built = project / ".venv" / "bin" / "python"
+    if (project / "deploy" / "build").exists() and built.exists() and not os.environ.get("COPPERLEAD_SOURCES"):
+        subprocess.run(["deploy/build"], cwd=project, check=True)
+        return [str(built), "-P", "-m", "whinrouter"]
+    return [sys.executable, "-m", "whinrouter"]
+
+
 @contextmanager
 def farm(
     hosts: int = 12,
@@ -290,7 +302,7 @@
         commands = {
             "hosts": [*here, "hosts", str(discovery), str(hosts), str(body), str(delay), *names],
             "forwarder": [*here, "forward", str(plain), *names],
-            "gateway": [sys.executable, "-m", "whinrouter"],
+            "gateway": gateway_command(project),
         }
         children = {
             name: subprocess.Popen(
