Add the operator file, its checks, the sidecar run mode and the configuration tool

Other installations need a file that people write and a check that refuses bad ones before they run. The operator file is TOML with includes and one typed section a subsystem (whinrouter/operator/); findings come all at once with file, line, key, reason and what to do.

--- a/benchmarks/farm.py
+++ b/benchmarks/farm.py
@@ -273,7 +273,11 @@
     In the environment COPPERLEAD_SOURCES=1 takes the sources of any.
     """
     built = project / ".venv" / "bin" / "python"
-    if (project / "deploy" / "build").exists() and built.exists() and not os.environ.get("COPPERLEAD_SOURCES"):
+    if (
+        (project / "deploy" / "build").exists()
+        and built.exists()
+        and not os.environ.get("COPPERLEAD_SOURCES")
+    ):
         subprocess.run(["deploy/build"], cwd=project, check=True)
         return [str(built), "-P", "-m", "whinrouter"]
     return [sys.executable, "-m", "whinrouter"]
--- a/setup.py
+++ b/setup.py
@@ -16,6 +16,7 @@
     "whinrouter/net/frontend.py",
     "whinrouter/net/gateway.py",
     "whinrouter/net/http.py",
+    "whinrouter/net/routes.py",
     "whinrouter/net/sockets.py",
     "whinrouter/net/upstream.py",
     "whinrouter/net/wheel.py",
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import sys
 import time
@@ -63,7 +64,9 @@
 async def program(
     folder: Path, config: object, **variables: str
 ) -> AsyncIterator[asyncio.subprocess.Process]:
-    environment = {"PROXY_CONFIG": str(write(folder, config)), **variables}
+    # These say which package is tested: the sources here or what was built of them.
+    kept = {name: os.environ[name] for name in ("PYTHONPATH", "PYTHONSAFEPATH") if name in os.environ}
+    environment = {**kept, "PROXY_CONFIG": str(write(folder, config)), **variables}
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "whinrouter", env=environment, stderr=asyncio.subprocess.PIPE
     )
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,357 @@
+"""Sidecars as they are run: from an operator file, as a process of their own, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import orjson
+import pytest
+
+from tests.operator.cases import BASE, CORPUS
+from tests.peers import GENEROUS, Client, Peer, peers, says, scenario, silent, until
+from tests.test_discovery import HEAD, chunk
+from whinrouter.operator.checks import check
+from whinrouter.operator.loading import load
+
+GOOD = sorted((CORPUS / "good").glob("*.toml"))
+PORTS = iter(range(20_000, 30_000))  # below the ephemeral range, as the checks want it
+
+
+def free_port() -> int:
+    """A port that nobody listens on; another test's process may run beside this one."""
+    for port in PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port + os.getpid() % 1000 * 2))
+            except OSError:
+                continue
+            return port + os.getpid() % 1000 * 2
+    raise AssertionError("no port is free")
+
+
+def lay(folder: Path, host: Peer, service: int = 1) -> dict[str, str]:
+    """The good configurations in a folder, with this host behind each; what stands for the names in them."""
+    port = free_port()
+    names = {
+        "LISTEN": f"127.0.0.1:{port}",
+        "PORT": str(port),
+        "HOST": f"127.0.0.1:{host.port}",
+        "DISCOVERY": f"127.0.0.1:{service}",
+        "FOLDER": str(folder),
+    }
+    (folder / "catalogue.toml").write_bytes(BASE.files["catalogue.toml"])
+    (folder / "hosts").write_text(f"# the fleet\n{names['HOST']}\n")
+    (folder / "app.pid").write_text(f"{os.getpid()}\n")
+    for path in GOOD:
+        text = path.read_text()
+        for name in sorted(names, key=len, reverse=True):
+            text = text.replace(name, names[name])
+        (folder / path.name).write_text(text)
+    return names
+
+
+@asynccontextmanager
+async def sidecar(path: Path, *more: str) -> AsyncIterator[asyncio.subprocess.Process]:
+    command = [sys.executable, "-m", "whinrouter.operator.cli", "run", "--operator", str(path), *more]
+    process = await asyncio.create_subprocess_exec(*command, stderr=asyncio.subprocess.PIPE)
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+async def logged(process: asyncio.subprocess.Process, words: str) -> str:
+    """The next line of its log with these words."""
+    assert process.stderr is not None
+    async with asyncio.timeout(GENEROUS):
+        while line := await process.stderr.readline():
+            if words in line.decode():
+                return line.decode()
+    raise AssertionError(f"the log ended without {words!r}")
+
+
+async def connect(path: Path) -> Client:
+    """A client of the sidecar that a file describes, as soon as it listens."""
+    address = load(path).model.listen.address
+    assert address is not None
+    async with asyncio.timeout(GENEROUS):
+        while True:
+            try:
+                if address.path:
+                    return Client(*await asyncio.open_unix_connection(address.path))
+                return Client(*await asyncio.open_connection(address.host, address.port))
+            except OSError:
+                await asyncio.sleep(0.01)
+
+
+async def ask(client: Client, method: str, path: str) -> int:
+    """A request as an application writes it, which knows nothing of classes or ids."""
+    client.writer.write(f"{method} {path} HTTP/1.1\r\nHost: fleet\r\nContent-Length: 0\r\n\r\n".encode())
+    return (await client.answer()).status
+
+
+@asynccontextmanager
+async def discovery(host: Peer) -> AsyncIterator[int]:
+    """A service that tells of this host."""
+
+    async def tell(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + chunk(line(host)))
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(tell, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+
+
+def line(host: Peer) -> bytes:
+    return orjson.dumps({"revision": 1, "complete": True, "members": [host.entry()]}) + b"\n"
+
+
+def test_there_are_good_ones_enough() -> None:
+    assert len(GOOD) >= 12
+
+
+@pytest.mark.parametrize("name", [path.stem for path in GOOD])
+@scenario
+async def test_a_good_configuration_starts_and_serves(name: str, tmp_path: Path) -> None:
+    async with peers(says()) as (host,), discovery(host) as service:
+        lay(tmp_path, host, service)
+        path = tmp_path / f"{name}.toml"
+        assert check(load(path)) == []
+        async with sidecar(path) as process:
+            await logged(process, "listens on")
+            client = await connect(path)
+            async with asyncio.timeout(GENEROUS):
+                while await ask(client, "GET", "/up") != 200:  # the first list may be on its way
+                    await asyncio.sleep(0.01)
+            assert await ask(client, "GET", "/page-read/7?page=4") == 200
+            assert await ask(client, "POST", "/chapter-buy") == 200
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+        assert [request.method for request in host.requests] == [b"GET", b"POST"]
+        names = [request.get(b"x-request-id") for request in host.requests]
+        assert None not in names
+        assert len(set(names)) == 2
+
+
+@scenario
+async def test_a_purchase_is_not_sent_again_by_a_sidecar(tmp_path: Path) -> None:
+    async with peers(says(500), silent) as (failing, other):
+        lay(tmp_path, failing)
+        (tmp_path / "app.toml").write_text(
+            f'include = ["plain.toml"]\n[discovery]\nhosts = ["127.0.0.1:{failing.port}"]\n'
+        )
+        async with sidecar(tmp_path / "app.toml") as process:
+            await logged(process, "listens on")
+            assert await ask(await connect(tmp_path / "app.toml"), "POST", "/chapter-buy") == 502
+        assert len(failing.requests) == 1
+        assert not other.requests
+
+
+@scenario
+async def test_what_leads_to_no_class_or_has_another_method_reaches_no_host(tmp_path: Path) -> None:
+    async with peers(says()) as (host,):
+        lay(tmp_path, host)
+        async with sidecar(tmp_path / "plain.toml") as process:
+            await logged(process, "listens on")
+            for method, path, status in [
+                ("GET", "/unknown", 400),
+                ("GET", "/page-reader", 400),
+                ("GET", "/chapter-buy", 405),
+                ("POST", "/page-read", 405),
+                ("GET", "/page-read/..%2fchapter-buy", 400),
+                ("GET", "/page-read/../chapter-buy", 400),
+            ]:
+                assert await ask(await connect(tmp_path / "plain.toml"), method, path) == status
+        assert not host.requests
+
+
+def started(path: Path, *more: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "whinrouter.operator.cli", "run", "--operator", str(path), *more]
+    return subprocess.run(command, capture_output=True, text=True, timeout=GENEROUS, check=False)
+
+
+@scenario
+async def test_what_the_check_refuses_does_not_start(tmp_path: Path) -> None:
+    async with peers(says()) as (host,):
+        lay(tmp_path, host)
+        path = tmp_path / "bad.toml"
+        path.write_text('include = ["plain.toml"]\n[[class]]\nname = "chapter-buy"\neffect = "idempotent"\n')
+        ended = started(path)
+        assert ended.returncode == 1
+        assert f"{path}:4: class.chapter-buy.effect [unsafe-effect]" in ended.stderr
+
+
+@scenario
+async def test_a_file_that_changed_since_its_check_does_not_start(tmp_path: Path) -> None:
+    async with peers(says()) as (host,):
+        lay(tmp_path, host)
+        path = tmp_path / "small.toml"
+        digest = load(path).digest
+        async with sidecar(path, "--digest", digest) as process:
+            await logged(process, "listens on")
+        plain = tmp_path / "plain.toml"
+        plain.write_text(plain.read_text() + "\n# changed\n")
+        ended = started(path, "--digest", digest)
+        assert ended.returncode == 1
+        assert "is not what was checked" in ended.stderr
+
+
+@scenario
+async def test_an_address_that_is_taken_is_told(tmp_path: Path) -> None:
+    async with peers(says()) as (host,):
+        lay(tmp_path, host)
+        for name in ("plain", "socket"):
+            async with sidecar(tmp_path / f"{name}.toml") as process:
+                await logged(process, "listens on")
+                ended = started(tmp_path / f"{name}.toml")
+                assert ended.returncode == 2
+                assert "cannot listen on" in ended.stderr
+
+
+@scenario
+async def test_a_socket_that_a_killed_sidecar_left_is_taken_over(tmp_path: Path) -> None:
+    async with peers(says()) as (host,):
+        lay(tmp_path, host)
+        path = tmp_path / "socket.toml"
+        async with sidecar(path) as process:
+            await logged(process, "listens on")
+            process.kill()
+            await process.wait()
+        assert (tmp_path / "reader.sock").exists()
+        async with sidecar(path) as process:
+            await logged(process, "listens on")
+            assert await ask(await connect(path), "GET", "/page-read") == 200
+
+
+@scenario
+async def test_a_host_that_leaves_the_file_gets_nothing_more(tmp_path: Path) -> None:
+    async with peers(says(), says()) as (first, second):
+        lay(tmp_path, first)
+        path = tmp_path / "file.toml"
+        async with sidecar(path) as process:
+            await logged(process, "listens on")
+            client = await connect(path)
+            async with asyncio.timeout(GENEROUS):
+                while await ask(client, "GET", "/up") != 200:
+                    await asyncio.sleep(0.01)
+            assert await ask(client, "GET", "/page-read") == 200
+            for text in ("", "no address\n"):  # half written, or broken: the list in hand stays
+                (tmp_path / "hosts").write_text(text)
+                await logged(process, "the list in hand stays")
+                await asyncio.sleep(1.1)  # the log tells of one of a kind in a second
+                assert await ask(client, "GET", "/page-read") == 200
+            beside = tmp_path / "hosts.new"
+            beside.write_text(f"127.0.0.1:{second.port}\n")
+            beside.rename(tmp_path / "hosts")
+            async with asyncio.timeout(GENEROUS):
+                while not second.requests:
+                    assert await ask(client, "GET", "/page-read") == 200
+            seen = len(first.requests)
+            for _ in range(20):
+                assert await ask(client, "GET", "/page-read") == 200
+            assert len(first.requests) == seen
+
+
+@scenario
+async def test_a_reload_takes_over_hosts_and_refuses_what_is_bad(tmp_path: Path) -> None:
+    async with peers(says(), says()) as (first, second):
+        lay(tmp_path, first)
+        path = tmp_path / "plain.toml"
+        whole = path.read_text()
+        async with sidecar(path) as process:
+            await logged(process, "listens on")
+            client = await connect(path)
+            assert await ask(client, "GET", "/page-read") == 200
+            path.write_text(
+                whole.replace('name = "chapter-buy"', 'name = "chapter-buy"\neffect = "idempotent"')
+            )
+            process.send_signal(signal.SIGHUP)
+            await logged(process, "reload: refused")
+            changed = whole.replace(f"127.0.0.1:{first.port}", f"127.0.0.1:{second.port}")
+            path.write_text(changed + "\n[limits]\nclients = 10\n")
+            process.send_signal(signal.SIGHUP)
+            await logged(process, "limits.clients: 400 -> 10 (needs a restart)")  # the hosts come with it
+            seen = len(first.requests)
+            for _ in range(20):
+                assert await ask(client, "GET", "/page-read") == 200
+            assert (len(first.requests), len(second.requests)) == (seen, 20)
+
+
+def application(folder: Path) -> subprocess.Popen[bytes]:
+    """A process that stands for the application, and its file."""
+    process = subprocess.Popen([sys.executable, "-c", "import time; time.sleep(1000)"])
+    beside = folder / "pid.new"
+    beside.write_text(f"{process.pid}\n")
+    beside.rename(folder / "app.pid")
+    return process
+
+
+@scenario
+async def test_a_sidecar_takes_no_work_while_its_application_is_gone(tmp_path: Path) -> None:
+    async with peers(says()) as (host,):
+        lay(tmp_path, host)
+        path = tmp_path / "beside.toml"
+        (tmp_path / "app.pid").write_text("999999999\n")
+        async with sidecar(path) as process:
+            address = load(path).model.listen.address
+            assert address is not None
+            await logged(process, "digest")
+            with pytest.raises(OSError, match="onnect"):
+                await asyncio.open_connection(address.host, address.port)
+            for _ in range(2):  # it comes, is killed, comes back
+                app = application(tmp_path)
+                client = await connect(path)
+                assert await ask(client, "GET", "/page-read") == 200
+                app.kill()
+                app.wait()
+                assert await client.rest() == b""  # its idle connection is closed
+                with pytest.raises(OSError, match="onnect"):
+                    await asyncio.open_connection(address.host, address.port)
+            assert process.returncode is None
+
+
+@scenario
+async def test_a_sidecar_ends_with_its_application_if_it_is_to(tmp_path: Path) -> None:
+    async with peers(says()) as (host,):
+        lay(tmp_path, host)
+        path = tmp_path / "ends.toml"
+        app = application(tmp_path)
+        async with sidecar(path) as process:
+            await logged(process, "listens on")
+            assert await ask(await connect(path), "GET", "/page-read") == 200
+            app.kill()
+            app.wait()
+            async with asyncio.timeout(GENEROUS):
+                assert await process.wait() == 0
+
+
+@scenario
+async def test_a_request_in_work_is_answered_before_the_end(tmp_path: Path) -> None:
+    async with peers(silent) as (host,):
+        lay(tmp_path, host)
+        path = tmp_path / "plain.toml"
+        async with sidecar(path) as process:
+            await logged(process, "listens on")
+            client = await connect(path)
+            client.writer.write(b"POST /chapter-buy HTTP/1.1\r\nHost: fleet\r\nContent-Length: 0\r\n\r\n")
+            await until(lambda: host.requests)
+            process.send_signal(signal.SIGTERM)
+            await logged(process, "stopping: 1 requests held")
+            await says()(host.requests[0], host.askers[0])
+            assert (await client.answer()).status == 200
+            assert await process.wait() == 0
--- a/whinrouter/net/connect.py
+++ b/whinrouter/net/connect.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
+import os
 import socket
 from collections.abc import Callable
 from typing import TypeVar
@@ -47,7 +49,13 @@
         return self._socket.fileno() if self._socket is not None else None
 
     def bind(self, host: str, port: int) -> None:
-        """Take the address; port 0 leaves it to the system. OSError if it is taken."""
+        """Take the address; port 0 leaves it to the system. OSError if it is taken.
+
+        A host with a slash is the path of a Unix socket, whose permissions are the process's umask.
+        """
+        if "/" in host:
+            self._socket = _unix_socket(host)
+            return
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
 
@@ -60,7 +68,7 @@
         )
         # asyncio took the number for both, the queue and how many it accepts at once
         listener.listen(BACKLOG)
-        return int(listener.getsockname()[1])
+        return int(listener.getsockname()[1]) if listener.family != socket.AF_UNIX else 0
 
     async def accept_rest(self) -> None:
         """Take what waits to be accepted: closing the listener would reset it, with the requests on it."""
@@ -78,3 +86,23 @@
         self._socket = None
         if self._server is not None:
             self._server.close()
+
+
+def _unix_socket(path: str) -> socket.socket:
+    """Listen on a path; what a process that has died left there is taken away, what anyone serves is not."""
+    try:
+        with socket.socket(socket.AF_UNIX) as probe:
+            probe.connect(path)
+        raise OSError(errno.EADDRINUSE, "someone listens there")
+    except ConnectionRefusedError:
+        os.unlink(path)
+    except FileNotFoundError:
+        pass
+    listener = socket.socket(socket.AF_UNIX)
+    try:
+        listener.bind(path)
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    return listener
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import os
 import re
 from collections import OrderedDict, deque
 from collections.abc import Callable, Coroutine
@@ -18,6 +19,7 @@
 from whinrouter.net.door import Door
 from whinrouter.net.gateway import Answer, Asked, Gateway
 from whinrouter.net.http import BadMessageError, Message, Reading, RequestReader, write_answer
+from whinrouter.net.routes import Routes
 from whinrouter.net.sockets import age, end, left, unread
 from whinrouter.ownlimit import OwnLimit
 
@@ -67,11 +69,25 @@
 class Frontend:
     """The listener and its connections."""
 
-    def __init__(self, gateway: Gateway, settings: Settings, limit: int, door: Door | None = None) -> None:
-        """`door`: the selector of this loop, if it knows of the process's own limit."""
+    def __init__(
+        self,
+        gateway: Gateway,
+        settings: Settings,
+        limit: int,
+        door: Door | None = None,
+        routes: Routes | None = None,
+        buffered: int | None = None,
+    ) -> None:
+        """`door`: the selector of this loop, if it knows of the process's own limit.
+
+        `routes`: where paths lead, for an application that knows nothing of classes; its requests need no id.
+        """
         self.gateway = gateway
         self.own = door.own if door else OwnLimit(kind.aim / SECOND for kind in settings.classes)
         self.door = door
+        self._routes = routes
+        self._most_buffered = MAX_BUFFERED if buffered is None else buffered
+        self._sweeping = False
         self._advises = settings.retry_after
         self._random = Random()
         self._classes = {kind.name.encode(): kind for kind in settings.classes}
@@ -90,9 +106,16 @@
         self.listener.bind(host, port)
         if self.door is not None and self.listener.descriptor is not None:
             self.door.listeners.add(self.listener.descriptor)
-        self._loop.call_later(SWEEP_EVERY, self._sweep)
+        if not self._sweeping:  # it may listen anew
+            self._sweeping = True
+            self._loop.call_later(SWEEP_EVERY, self._sweep)
         return self.listener.serve()
 
+    @property
+    def overfull(self) -> bool:
+        """Whether more waits than may."""
+        return self.buffered > self._most_buffered
+
     @property
     def ready(self) -> bool:
         return self.gateway.has_list and not self.stopping
@@ -147,6 +170,9 @@
     def asked(self, message: Message) -> Asked:
         """What a request asks for; BadMessageError if it asks for nothing that there is."""
         told = _told_once(message)
+        if self._routes is not None and b"x-request-id" not in told:
+            told[b"x-request-id"] = os.urandom(16).hex().encode()
+            message.headers.append((b"x-request-id", told[b"x-request-id"]))
         if not 0 < len(told.get(b"x-request-id", b"")) <= MAX_ID:
             raise BadMessageError(HTTPStatus.BAD_REQUEST, "the request has no id of use")
         kind = self._class_of(message, told.get(b"x-class"))
@@ -164,6 +190,8 @@
         )
 
     def _class_of(self, message: Message, named: bytes | None) -> RequestClass:
+        if self._routes is not None:
+            return _class_by_path(self._routes, message, named)
         name = message.target.partition(b"?")[0].strip(b"/").partition(b"/")[0]
         kind = self._classes.get(name)
         if kind is None or (named is not None and named != name):
@@ -173,6 +201,15 @@
         return kind
 
 
+def _class_by_path(routes: Routes, message: Message, named: bytes | None) -> RequestClass:
+    route = routes.find(message.target)
+    if route is None or (named is not None and named != route.kind.name.encode()):
+        raise BadMessageError(HTTPStatus.BAD_REQUEST, "the path leads to no class")
+    if message.method not in route.methods:
+        raise BadMessageError(HTTPStatus.METHOD_NOT_ALLOWED, "the class goes with another method")
+    return route.kind
+
+
 def _told_once(message: Message) -> dict[bytes, bytes]:
     """The headers that are acted on. Of one that comes twice a host might believe the other."""
     found = [header for header in message.headers if header[0] in _ACTED_ON]
@@ -269,7 +306,7 @@
             self._count()
         if reader.error is not None:
             self._reject(reader.error.status)
-        elif len(self._queued) > MAX_QUEUED or self._front.buffered > MAX_BUFFERED:
+        elif len(self._queued) > MAX_QUEUED or self._front.overfull:
             self._turn_away()
         else:
             self._next()
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -89,7 +89,9 @@
 
 
 class Gateway:
-    def __init__(self, balancer: Balancer, upstream: Upstream) -> None:
+    def __init__(self, balancer: Balancer, upstream: Upstream, attempt_time: int = 0) -> None:
+        """`attempt_time`: microseconds that an attempt may take; 0: what is left of its request's time."""
+        self._attempt_time = attempt_time
         self._balancer = balancer
         self._upstream = upstream
         self._clock = Clock()
@@ -211,6 +213,8 @@
         number = len(held.sent)
         held.sent.append(None)
         until = min(expires, held.deadline) if expires else held.deadline
+        if self._attempt_time:
+            until = min(until, now + self._attempt_time)
         attempt = None
         if held.reply is not None and until > now:  # no attempt leaves after the final answer
             due = self._loop.time() + (until - now) / SECOND
--- /dev/null
+++ b/whinrouter/net/routes.py
@@ -0,0 +1,64 @@
+"""Which class a request falls into by its path. No I/O.
+
+The longest prefix of whole segments counts. A path may be read in more than one way (escapes, dot segments,
+doubled slashes): a host that reads it otherwise than we do would run it as another class than the one by
+which it was sent. Such a path is refused if its readings differ in class.
+"""
+
+from __future__ import annotations
+
+import posixpath
+from collections.abc import Iterable
+from typing import NamedTuple
+from urllib.parse import unquote_to_bytes
+
+from whinrouter.interface import RequestClass
+
+_ODD = (b"%", b"//", b"/.", b"\\", b";")
+
+
+class Route(NamedTuple):
+    """A class with the paths and methods that are its own."""
+
+    prefix: bytes  # begins with a slash, and ends with none unless it is the whole
+    kind: RequestClass
+    methods: frozenset[bytes]
+
+
+class Routes:
+    """All routes of a gateway."""
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        self._routes = {route.prefix: route for route in routes}
+
+    def find(self, target: bytes) -> Route | None:
+        """The route of a request's target; None if there is none, or if it depends on the reading."""
+        if not target.startswith(b"/"):  # the absolute form (RFC 9112, 3.2.2) is for proxies
+            return None
+        path = target.partition(b"?")[0].partition(b"#")[0]
+        found = self._longest(path)
+        if any(part in path for part in _ODD) and any(
+            self._longest(read) is not found for read in _readings(path)
+        ):
+            return None
+        return found
+
+    def _longest(self, path: bytes) -> Route | None:
+        while path not in self._routes:
+            path, slash, _ = path.rpartition(b"/")
+            if not slash:
+                return self._routes.get(b"/")
+        return self._routes[path]
+
+
+def _readings(path: bytes) -> list[bytes]:
+    """Other readings of a path that hosts are known to have."""
+    plain = path.replace(b"\\", b"/")
+    # Of parameters (RFC 3986, 3.3) some hosts look at the part before alone.
+    bare = b"/".join(part.partition(b";")[0] for part in plain.split(b"/"))
+    readings = [plain, bare]
+    for _ in range(2):  # escapes of escapes are read twice by hosts behind hosts
+        readings += [unquote_to_bytes(reading) for reading in readings]
+    return [
+        path for reading in readings for path in (reading, b"/" + posixpath.normpath(reading).lstrip(b"/"))
+    ]
--- /dev/null
+++ b/whinrouter/operator/explain.py
@@ -0,0 +1,103 @@
+"""What is in force, where it came from, and what a change of it changes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+from whinrouter.operator.checks import methods_of, path_of
+from whinrouter.operator.loading import Loaded, Setting
+from whinrouter.operator.model import RequestClass
+
+# What a running sidecar takes over when it reads its file again; all else waits for the next start.
+RELOADED = ("discovery.", "app.owner")
+
+
+@dataclass(frozen=True, slots=True)
+class Effective:
+    """One value in force."""
+
+    key: str
+    value: str
+    origin: str  # a file and line, or "default"
+
+
+def effective(loaded: Loaded) -> list[Effective]:
+    """All values in force, in the order of the model."""
+    return list(_section(loaded, loaded.model, (), ""))
+
+
+def _section(loaded: Loaded, section: Any, path: tuple[str | int, ...], key: str) -> Iterator[Effective]:
+    for field in msgspec.structs.fields(section):
+        name = field.encode_name
+        if not path and name == "class_defaults":
+            continue  # they are in each class
+        value = getattr(section, field.name)
+        here, shown = (*path, name), f"{key}.{name}" if key else name
+        if isinstance(value, msgspec.Struct):
+            yield from _section(loaded, value, here, shown)
+        elif value and isinstance(value, list) and isinstance(value[0], msgspec.Struct):
+            for place, inner in enumerate(value):
+                yield from _section(loaded, inner, (*here, place), f"{shown}.{inner.name}")
+        else:
+            yield Effective(shown, text(_meant(section, field.name, value)), _origin(loaded, here))
+
+
+def _meant(section: Any, name: str, value: Any) -> Any:
+    """What a class means where it says nothing."""
+    if isinstance(section, RequestClass) and name in ("path", "methods"):
+        return path_of(section) if name == "path" else methods_of(section)
+    return value
+
+
+def text(value: Any) -> str:
+    """A value as it would be written in a file."""
+    if isinstance(value, Enum):
+        return f'"{value.value}"'
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, list):
+        return f"[{', '.join(map(text, value))}]"
+    if type(value) in (int, float):
+        return str(value)
+    return '""' if value is None else '"' + str(value).replace("\\", "\\\\").replace('"', '\\"') + '"'
+
+
+def _origin(loaded: Loaded, path: tuple[str | int, ...]) -> str:
+    node: Any = loaded.tree
+    for part in path:
+        try:
+            node = node[part]
+        except (KeyError, IndexError, TypeError):
+            return "default"
+    return str(node.place) if isinstance(node, Setting) else "default"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One value that differs between two configurations."""
+
+    key: str
+    old: str | None  # None: it was not there
+    new: str | None
+    restart: bool
+
+    def __str__(self) -> str:
+        old, new = self.old or "(none)", self.new or "(none)"
+        return f"{self.key}: {old} -> {new}{' (needs a restart)' if self.restart else ''}"
+
+
+def changes(old: Loaded, new: Loaded) -> list[Change]:
+    """What differs in behaviour; how it is spread over files does not count."""
+    before = {one.key: one.value for one in effective(old)}
+    after = {one.key: one.value for one in effective(new)}
+    keys = [*before, *(key for key in after if key not in before)]
+    return [
+        Change(key, before.get(key), after.get(key), not key.startswith(RELOADED))
+        for key in keys
+        if before.get(key) != after.get(key)
+    ]
--- /dev/null
+++ b/whinrouter/program.py
@@ -0,0 +1,207 @@
+"""A gateway as a process: its parts put together, started, and ended. What it is told, others read."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import signal
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from whinrouter.balance import Balancer
+from whinrouter.interface import SECOND, Settings
+from whinrouter.net.application import Application
+from whinrouter.net.config import ConfigError
+from whinrouter.net.discovery import HostList
+from whinrouter.net.door import Door
+from whinrouter.net.frontend import Frontend
+from whinrouter.net.gateway import Gateway
+from whinrouter.net.routes import Routes
+from whinrouter.net.upstream import Upstream
+from whinrouter.ownlimit import OwnLimit
+
+log = logging.getLogger("whinrouter")
+
+RESERVED = 32  # descriptors for all that is no client's and no host's connection, or not counted yet
+STILL_ACCEPTING = 0.5  # seconds for which connections go on coming after SIGTERM
+LAG_STEP, LAG_SHOWN = 0.1, 0.05
+# New objects between two looks of the collector. What a request makes is freed as it ends, and cycles are
+# rare: with Python's own 700 it cost up to a tenth of all CPU.
+GC_EVERY = 20_000
+SELDOM = 1.0  # seconds between two log lines of a kind
+
+
+class Hosts(Protocol):
+    """Where lists of hosts come from."""
+
+    def start(self) -> None: ...
+
+    def stop(self) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Beside:
+    """The application that a gateway serves alone."""
+
+    pid_file: str
+    ends_with_it: bool  # else it takes no work until the application is back
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """All that a gateway is started with."""
+
+    name: str
+    listen: tuple[str, int]  # the port of a Unix socket's path is 0
+    settings: Settings
+    seed: int
+    known: HostList
+    hosts: Callable[[Callable[[HostList], None]], Hosts]
+    reload: Callable[[Hosts], None]  # on SIGHUP
+    connect_time: float  # seconds
+    idle_time: float  # seconds
+    clients: int  # connections of clients at most
+    connections: int  # connections to hosts at most
+    known_is_old: bool = True  # nobody has told of these hosts since the start
+    routes: Routes | None = None
+    attempt_time: int = 0  # microseconds that an attempt may take; 0: what is left
+    buffered: int | None = None  # bytes of requests that wait or have not come whole; None: the usual
+    beside: Beside | None = None
+
+
+def serve(plan: Plan) -> None:
+    """Run until SIGTERM or SIGINT, or until the application ends if it is to end with that.
+
+    Raises ConfigError if it cannot listen.
+    """
+    door = Door(OwnLimit([kind.aim / SECOND for kind in plan.settings.classes]))
+    with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(door)) as runner:
+        runner.run(_serve(plan, door))
+
+
+async def _serve(plan: Plan, door: Door) -> None:
+    upstream = Upstream(plan.connect_time, plan.idle_time, plan.connections)
+    gateway = Gateway(Balancer(plan.settings, plan.seed), upstream, plan.attempt_time)
+    gateway.list_hosts(plan.known, stale=plan.known_is_old)
+    frontend = Frontend(gateway, plan.settings, plan.clients, door, plan.routes, plan.buffered)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    hosts = plan.hosts(gateway.list_hosts)
+    loop.add_signal_handler(signal.SIGHUP, plan.reload, hosts)
+    application = _application(plan, frontend, stop)
+    if application is None:
+        port = await _listen(plan, frontend)
+        log.info("%s listens on %s:%d", plan.name, plan.listen[0], port)
+    hosts.start()
+    lag = loop.create_task(_watch_lag())
+    # What exists now stays: the collector need not look at it again, which would hold up the loop.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_EVERY, 20, 50)
+    if application is not None:
+        application.start()
+    await stop.wait()
+    log.info("stopping: %d requests held", gateway.holds)
+    frontend.stopping = True
+    if application is not None:
+        application.stop()
+    await asyncio.sleep(STILL_ACCEPTING)
+    await frontend.listener.accept_rest()
+    frontend.close()
+    await _until_answered(frontend, max(kind.deadline for kind in plan.settings.classes) / SECOND)
+    hosts.stop()
+    lag.cancel()
+
+
+async def _listen(plan: Plan, frontend: Frontend) -> int:
+    host, port = plan.listen
+    try:
+        return await frontend.listen(host, port)
+    except OSError as error:
+        raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror}") from None
+
+
+def _application(plan: Plan, frontend: Frontend, stop: asyncio.Event) -> Application | None:
+    """Listen while the application is here, and not while it is gone."""
+    beside = plan.beside
+    if beside is None:
+        return None
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def listen() -> None:
+        try:
+            await _listen(plan, frontend)
+            log.info("%s listens on %s:%d", plan.name, *plan.listen)
+        except ConfigError as error:
+            log.error("%s; ending", error)
+            stop.set()
+
+    def back() -> None:
+        task = asyncio.get_running_loop().create_task(listen())
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    def gone() -> None:
+        # Its own connections end by themselves, and what is left of them is nobody's.
+        frontend.close()
+        if beside.ends_with_it:
+            stop.set()
+
+    return Application(beside.pid_file, gone, back)
+
+
+class _Seldom(logging.Filter):
+    """Peers can cause some lines at will: of a kind, one in a second is enough."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._said: dict[str, float] = {}  # by the text without its figures: as many as the source holds
+        self._left_out: dict[str, int] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        kind = str(record.msg)
+        if record.created < self._said.get(kind, 0.0) + SELDOM:
+            self._left_out[kind] = self._left_out.get(kind, 0) + 1
+            return False
+        self._said[kind] = record.created
+        left_out = self._left_out.pop(kind, 0)
+        if left_out:
+            record.msg = f"{kind} ({left_out} such lines left out)"
+        return True
+
+
+async def _until_answered(frontend: Frontend, longest: float) -> None:
+    """Each connection closes with its answer; one who doesn't read must not hold up the exit."""
+    try:
+        async with asyncio.timeout(longest):
+            while frontend.connections:
+                await asyncio.sleep(0.01)
+    except TimeoutError:
+        log.warning("%d connections were still open at the exit", len(frontend.connections))
+
+
+async def _watch_lag() -> None:
+    """Say so when the loop runs late: every deadline is then met late."""
+    loop = asyncio.get_running_loop()
+    while True:
+        due = loop.time() + LAG_STEP
+        await asyncio.sleep(LAG_STEP)
+        if loop.time() - due > LAG_SHOWN:
+            log.warning("the loop runs %d ms late", (loop.time() - due) * 1000)
+
+
+def log_to_stderr() -> None:
+    """Log as the gateway's program does."""
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=logging.INFO,
+        format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
+        datefmt="%H:%M:%S",
+    )
+    for handler in logging.getLogger().handlers:
+        handler.addFilter(_Seldom())
