--- /dev/null
+++ b/whinrouter/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Where the list of hosts comes from, beside the platform's watch."""
