Mend what a second reading of the sidecar found, with a test for each

A first `write` killed between its base and its top file refused every later run, as the base counted as another sidecar on its port. diff and reload said that a new zone or source of hosts needs no restart, and they do. An application that died as it was seen could leave its sidecar listening. A description's hosts beside a host file, and when_gone without a pid file, were dropped without a word.

--- a/tests/operator/test_writing.py
+++ b/tests/operator/test_writing.py
@@ -142,6 +142,8 @@
         (APP.replace('owner = "shop team"\n', ""), "missing"),
         (APP.replace('["127.0.0.1:7001"]', "[]"), "missing"),
         (APP.replace('"shop"', '"reader"').replace("ports", 'listen = "127.0.0.1:9101"\nports'), "same-port"),
+        (APP.replace("ports", 'hosts_file = "/run/hosts"\nports'), "no-effect"),
+        (APP.replace("ports", 'when_gone = "exit"\nports'), "app-unknown"),
         ("name = ", "syntax"),
     ],
 )
@@ -190,6 +192,8 @@
         assert findings + check_host(loads) == []
         if code == GOOD:
             break
+        assert main(["sidecar", "write", str(description), "--host-dir", str(host)]) == GOOD
+        assert str(load(host / "shop.toml").model.listen.address) == "127.0.0.1:9100"
         for path in host.glob("*shop*"):
             path.unlink()
     assert at >= 16
--- a/whinrouter/net/connect.py
+++ b/whinrouter/net/connect.py
@@ -63,9 +63,13 @@
         """Take connections at the address that is bound; return its port."""
         listener = self._socket
         assert listener is not None
-        self._server = await asyncio.get_running_loop().create_server(
+        server = await asyncio.get_running_loop().create_server(
             self._protocol, sock=listener, backlog=ACCEPTED_AT_ONCE
         )
+        if self._socket is not listener:  # it was closed meanwhile
+            server.close()
+            return 0
+        self._server = server
         # asyncio took the number for both, the queue and how many it accepts at once
         listener.listen(BACKLOG)
         return int(listener.getsockname()[1]) if listener.family != socket.AF_UNIX else 0
--- a/whinrouter/operator/checks.py
+++ b/whinrouter/operator/checks.py
@@ -10,7 +10,7 @@
 from whinrouter.operator.findings import Finding, Place
 from whinrouter.operator.loading import Loaded
 from whinrouter.operator.model import Allowed, Effect, RequestClass, Source, WhenGone
-from whinrouter.operator.values import Address, Duration, overlap
+from whinrouter.operator.values import Duration, overlap
 
 Check = Callable[[Loaded], Iterator[Finding]]
 
@@ -345,6 +345,3 @@
         for one in CHECKS:
             found += one(loaded)
     return sorted(set(found))
-
-
-__all__ = ["CHECKS", "Address", "check", "methods_of", "path_of"]
--- a/whinrouter/operator/cli.py
+++ b/whinrouter/operator/cli.py
@@ -129,8 +129,9 @@
 
 def _explain(told: argparse.Namespace) -> int:
     loaded = _loaded(told.file)
-    shown = [one for one in effective(loaded) if one.key == told.key or one.key.startswith(told.key + ".")]
-    for one in shown if told.key else effective(loaded):
+    everything = effective(loaded)
+    shown = [one for one in everything if one.key == told.key or one.key.startswith(told.key + ".")]
+    for one in shown if told.key else everything:
         print(f"{one.key} = {one.value}  # {one.origin}")
     if told.key and not shown:
         print(f"copperlead: there is no key {told.key}", file=sys.stderr)
--- a/whinrouter/operator/explain.py
+++ b/whinrouter/operator/explain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
@@ -14,7 +15,7 @@
 from whinrouter.operator.model import RequestClass
 
 # What a running sidecar takes over when it reads its file again; all else waits for the next start.
-RELOADED = ("discovery.", "app.owner")
+RELOADED = ("discovery.hosts", "discovery.file", "discovery.address", "app.owner")
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +65,7 @@
         return f"[{', '.join(map(text, value))}]"
     if type(value) in (int, float):
         return str(value)
-    return '""' if value is None else '"' + str(value).replace("\\", "\\\\").replace('"', '\\"') + '"'
+    return '""' if value is None else json.dumps(str(value), ensure_ascii=False)
 
 
 def _origin(loaded: Loaded, path: tuple[str | int, ...]) -> str:
@@ -97,7 +98,7 @@
     after = {one.key: one.value for one in effective(new)}
     keys = [*before, *(key for key in after if key not in before)]
     return [
-        Change(key, before.get(key), after.get(key), not key.startswith(RELOADED))
+        Change(key, before.get(key), after.get(key), key not in RELOADED)
         for key in keys
         if before.get(key) != after.get(key)
     ]
--- a/whinrouter/operator/host.py
+++ b/whinrouter/operator/host.py
@@ -25,15 +25,15 @@
             findings += _stray(path, loaded.root)
         else:
             loads.setdefault(os.path.realpath(path), loaded)
-    parts = {real for own, loaded in loads.items() for real in _reach(loaded) if real != own}
+    parts = {real for own, loaded in loads.items() for real in loaded.named if real != own}
     parts |= {real for real in loads if real.endswith(PART)}
     tops = [real for real in loads if real not in parts]
     # Files that include each other in a ring are in no top's reach, and would go unseen.
-    reached = {real for top in tops for real in _reach(loads[top])}
+    reached = {real for top in tops for real in loads[top].named}
     for real, loaded in loads.items():
         if real not in reached and not real.endswith(PART):
             tops.append(real)
-            reached |= _reach(loaded) | {real}
+            reached |= loaded.named | {real}
     return [loads[real] for real in sorted(tops)], findings
 
 
@@ -57,10 +57,6 @@
     return [Finding(Place(str(path)), "", "stray-catalogue", reason, "Take it out.")]
 
 
-def _reach(loaded: Loaded) -> set[str]:
-    return loaded.named
-
-
 def check_host(loads: Iterable[Loaded]) -> list[Finding]:
     """All findings on each of them and on all together."""
     loads = list(loads)
--- a/whinrouter/operator/loading.py
+++ b/whinrouter/operator/loading.py
@@ -10,12 +10,12 @@
 import os
 import stat
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
-from whinrouter.operator.decode import decode, shown
+from whinrouter.operator.decode import decode
 from whinrouter.operator.findings import Finding, Place
 from whinrouter.operator.lines import KeyPath, key_lines
 from whinrouter.operator.model import Catalogue, Model
@@ -318,6 +318,17 @@
     return folders[-1] if folders else path.absolute().parent
 
 
+def by_line(path: Path, lines: Mapping[KeyPath, int]) -> Callable[[KeyPath], Place]:
+    """Where each key of one file stands, or the nearest table above it."""
+
+    def where(key: KeyPath) -> Place:
+        while key and key not in lines:
+            key = key[:-1]
+        return Place(str(path), lines.get(key, 0))
+
+    return where
+
+
 def read_toml(path: Path) -> tuple[dict[str, Any] | None, dict[KeyPath, int], list[Finding]]:
     """One file by itself: what it says, the lines of its keys, and what is wrong if it could not be read."""
     loader = _Loader(path, path.absolute().parent, {})
@@ -391,13 +402,7 @@
     if told is None:
         return None, {}, loader.loaded.findings
     values, lines = told
-
-    def where(key: KeyPath) -> Place:
-        while key and key not in lines:
-            key = key[:-1]
-        return Place(str(path), lines.get(key, 0))
-
-    catalogue, findings = decode(Catalogue, values, where)
+    catalogue, findings = decode(Catalogue, values, by_line(path, lines))
     return catalogue, loader.loaded.files, findings
 
 
@@ -410,6 +415,3 @@
     name = entry.get("name") if isinstance(entry, dict) else None
     key = f"class.{name}{rest}" if isinstance(name, str) else finding.key
     return Finding(finding.place, key, finding.code, finding.reason, finding.todo)
-
-
-__all__ = ["Loaded", "Setting", "load", "merge", "plain", "shown"]
--- a/whinrouter/operator/writing.py
+++ b/whinrouter/operator/writing.py
@@ -16,11 +16,10 @@
 
 from whinrouter.operator.decode import decode
 from whinrouter.operator.explain import text
-from whinrouter.operator.findings import Finding, Place
+from whinrouter.operator.findings import Finding
 from whinrouter.operator.host import check_host, configurations
-from whinrouter.operator.lines import KeyPath
-from whinrouter.operator.loading import Loaded, load, load_catalogue, read_toml, root_of
-from whinrouter.operator.model import Allowed, Catalogue, Effect, Name, WhenGone
+from whinrouter.operator.loading import Loaded, by_line, load, load_catalogue, read_toml, root_of
+from whinrouter.operator.model import Allowed, Catalogue, Effect, Name, RequestClass, WhenGone
 from whinrouter.operator.model import Path as UrlPath
 from whinrouter.operator.values import Address, Duration
 
@@ -32,8 +31,8 @@
 
     name: Name
     safe_to_repeat: bool = False
-    answer_within: Duration = Duration(400_000)
-    give_up_after: Duration = Duration(1_500_000)
+    answer_within: Duration = RequestClass().aim
+    give_up_after: Duration = RequestClass().deadline
     path: UrlPath = ""
     worth: Annotated[float, Meta(ge=0, le=1_000_000)] = 1.0
 
@@ -48,7 +47,7 @@
     hosts: list[Address] = []
     hosts_file: str = ""
     pid_file: str = ""
-    when_gone: WhenGone = WhenGone.CLOSE
+    when_gone: WhenGone | None = None  # "close", if there is a pid_file
     need: list[Need] = []
 
 
@@ -63,27 +62,21 @@
 def describe(path: Path) -> tuple[Description | None, list[Finding]]:
     """Read a description; what is wrong with it."""
     told, lines, findings = read_toml(path)
-    if told is None:
-        return None, findings
-
-    def where(key: KeyPath) -> Place:
-        while key and key not in lines:
-            key = key[:-1]
-        return Place(str(path), lines.get(key, 0))
-
-    return decode(Description, told, where)
+    return (None, findings) if told is None else decode(Description, told, by_line(path, lines))
 
 
 def draft(told: Description, folder: Path) -> Draft:
     """The files for a description, and what the checks say of them beside all else in the folder."""
-    others = [loaded for loaded in configurations(folder)[0] if Path(loaded.path).name != f"{told.name}.toml"]
-    top = folder / f"{told.name}.toml"
+    top, base = folder / f"{told.name}.toml", folder / f"{told.name}.base.toml"
+    # A run that was killed may have left the base by itself.
+    own_names = (top.name, base.name)
+    others = [loaded for loaded in configurations(folder)[0] if Path(loaded.path).name not in own_names]
     catalogue, _, _ = load_catalogue(root_of(top))
     address = told.listen or _free_port(others, told)
     local = folder / f"{told.name}.local.toml"
     files = {
-        folder / f"{told.name}.base.toml": _base(told, address, catalogue).encode(),
-        folder / f"{told.name}.toml": _top(told).encode(),
+        base: _base(told, address, catalogue).encode(),
+        top: _top(told).encode(),
     }
     if not local.exists():
         files = {local: _local(told).encode(), **files}
@@ -131,12 +124,14 @@
     if told.ports:
         parts += ["# Its own ports: no sidecar of this host may listen there.", f"ports = {text(told.ports)}"]
     if told.pid_file:
-        parts += [f"pid_file = {text(told.pid_file)}", f"when_gone = {text(told.when_gone)}"]
+        parts.append(f"pid_file = {text(told.pid_file)}")
+    if told.pid_file or told.when_gone:
+        parts.append(f"when_gone = {text(told.when_gone or WhenGone.CLOSE)}")
     parts += ["", "[listen]", "# For the application alone.", f"address = {text(address)}", "", "[discovery]"]
     if told.hosts_file:
         parts += ['source = "file"', "# Read again when it changes.", f"file = {text(told.hosts_file)}"]
-    else:
-        parts += ['source = "static"', f"hosts = {text(told.hosts)}"]
+    if told.hosts or not told.hosts_file:
+        parts.append(f"hosts = {text(told.hosts)}")
     for need in told.need:
         parts += _class(need, _declared(need, catalogue))
     return "\n".join([*parts, ""])
