--- a/setup.py
+++ b/setup.py
@@ -12,6 +12,7 @@
     "whinrouter/host.py",
     "whinrouter/interface.py",
     "whinrouter/ownlimit.py",
+    "whinrouter/shedding.py",
     "whinrouter/net/attempt.py",
     "whinrouter/net/door.py",
     "whinrouter/net/frontend.py",
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -8,15 +8,17 @@
 
 from collections.abc import Iterator
 from hashlib import blake2b
+from math import ceil
 from random import Random
 
 from whinrouter.breaker import Breaker
-from whinrouter.host import Host
+from whinrouter.host import FIRST_LIMIT, LEAST_FIRST_LIMIT, Host
 from whinrouter.interface import (
     SECOND, Action, Attempt, AttemptEnded, Cancel, Effect, Event, Fail, Outcome, Pending, Refuse, Request,
     RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId, ServerList, SetTimer, Settings,
     State, StreamStarted, Subscribe, TimerFired, Update,
 )  # fmt: skip
+from whinrouter.shedding import Shedding
 
 OPEN_SHARE = 0.5  # no closed breaker counts a failure while this share of them is open
 CLASS_OPEN_SHARE = 0.75  # likewise of the breakers for a class; the servers still serve the others
@@ -25,11 +27,12 @@
 LEAST_SUBSET = 4  # servers that a balancer keeps to at least
 
 TARGET = 0.5  # share of the aim within which answers come in while a server has room
-SHED_TIME = SECOND // 2  # late answers for this long leave about a third of the share that is admitted
-SIGN = SECOND // 4  # an answer speaks for the time since the one before it, but for no longer than this
-SAVED = 5  # seconds of its share that a tenant may save up
 
-LATE = 2.5  # an attempt out this many times as long as its like usually take is late
+LATE = 0.005  # share of the attempts of a class that are out past its mark, and so late
+# Its mark, in usual times. How far a class's own answers scatter differs by deployment: at 2.5 usual times
+# one in six of an exponential kind was late, and three in a row opened the breakers of hosts that were well.
+FIRST_MARK, LEAST_MARK = 4.0, 2.0
+MARK_STEP = 0.2  # by which one attempt that is out past its mark moves it
 EXTRA_SHARE = 0.1  # retry budget: attempts past the fallback, and hedges, for each request on average
 EXTRA_BURST = 20.0  # saved up at most, by all balancers together
 STEP = 1.04  # by which the usual time follows each answer
@@ -61,18 +64,13 @@
         self._spare = self._most_spare = max(1.0, EXTRA_BURST / settings.balancers)  # extra attempts
         self._warm: dict[str, float] = {}  # servers of each kind, counted by warmth
         self._summed = -SUM_EVERY
-        self._seen: dict[tuple[str, bool], int] = {}  # requests by class, and by whether beyond a share
-        self._asked: dict[tuple[str, bool], float] = {}  # work asked for, likewise
-        self._credit = {tenant: (allowance * SAVED, 0) for tenant, allowance in settings.allowances.items()}
-        self._share, self._last_sign = (
-            1.0,
-            0,
-        )  # share of the work that is admitted; when an answer last moved it
+        self._shed = Shedding(settings)
         self._order: list[Host] = []  # for drawing at random
         self._here: list[Host] = []  # those of them in this balancer's zone
         self._spill: list[Host] = []  # those outside its subset, in the order in which they stand in
         self._patience: dict[str, int] = {}  # the longest time a client has left to its first try, by class
         self._usual: dict[str, float] = {}  # median time of an answer by class, for each unit of cost
+        self._marks: dict[str, float] = {}  # by class, the multiple of it after which an attempt is late
 
     def handle(self, event: Event, now: int) -> list[Action]:
         if isinstance(event, Request):
@@ -99,11 +97,15 @@
             known = self._hosts.get(server)
             if info.state is not State.READY:
                 self._hosts.pop(server, None)
-            elif known is None or known.info.started != info.started:
+                continue
+            if known is None or known.info.started != info.started:
                 # A restarted server is a new one: cold, and its breaker fresh.
-                self._hosts[server] = Host(info, self._random, Breaker(self._random), now)
+                known = self._hosts[server] = Host(info, self._random, Breaker(self._random), now)
+                known.limit = max(LEAST_FIRST_LIMIT, FIRST_LIMIT / self._settings.balancers)
             else:
                 known.info = info
+            if self._settings.sized and info.weight > 0:
+                known.size = info.weight
         self._summed = now - SUM_EVERY
         self._order, self._spill = self._subset()
         self._here = [host for host in self._order if host.info.zone == self._settings.zone]
@@ -162,14 +164,11 @@
             kind = RequestClass("", event.timeout or 1, event.timeout or 1, Effect.AT_MOST_ONCE)
             self._classes[kind.name] = kind  # one for all of them: names are at a peer's will
         # With nothing out, nobody can tell that an overload is over until another is let through.
-        blind = not self._pending and now >= self._last_sign + SHED_TIME
+        blind = not self._pending
         pending = Pending(event, kind, now, now + event.timeout)
         self._pending[event.id] = pending
         self._spare = min(self._most_spare, self._spare + EXTRA_SHARE)
-        part = kind.name, self._beyond(event, now)
-        self._seen[part] = self._seen.get(part, 0) + 1
-        self._asked[part] = self._asked.get(part, 0.0) + self._cost(pending)
-        turned = self._share < 1 and not blind and self._random.random() >= self._admitted(part)
+        turned = self._shed.turns_away(event, kind, self._cost(pending), now, blind, self._random)
         if self._too_late(event, kind) or turned:
             return self._answer(pending)
         return self._advance(pending, now)
@@ -181,33 +180,6 @@
         known = event.retry and event.timeout < self._patience.get(kind.name, 0)  # cut short by the deadline
         return known and kind.late_worth == 0 and kind.deadline - event.timeout > kind.aim
 
-    def _sign(self, in_time: bool, now: int) -> None:
-        """Overload shows in this balancer's own answers: it then admits less, and more again once it is over.
-
-        Signs are weighed by time, not counted: one balancer that sees all and one of hundreds react alike.
-        """
-        since, self._last_sign = self._last_sign or now, now  # the first sign speaks for no time at all
-        weight = min(now - since, SIGN) / SHED_TIME
-        self._share = min(1.0, self._share + weight) if in_time else self._share * (1 - weight)
-
-    def _beyond(self, event: Request, now: int) -> bool:
-        """Whether it is beyond its tenant's share, as far as this balancer's part of that tells."""
-        if event.tenant not in self._credit:
-            return False
-        rate = self._settings.allowances[event.tenant]
-        credit, since = self._credit[event.tenant]
-        credit = min(rate * SAVED, credit + rate * (now - since) / SECOND)
-        self._credit[event.tenant] = max(0.0, credit - (not event.retry)), now
-        return credit < 1
-
-    def _admitted(self, part: tuple[str, bool]) -> float:  # what is worth least for its work goes first
-        def value(other: tuple[str, bool]) -> float:
-            worth = self._classes[other[0]].worth * (self._settings.over_share_worth if other[1] else 1)
-            return worth * self._seen[other] / self._asked[other]
-
-        above = sum(work for other, work in self._asked.items() if value(other) > value(part))
-        return (self._share * sum(self._asked.values()) - above) / self._asked[part]
-
     def _cost(self, pending: Pending) -> float:
         return pending.request.cost or self._expected(pending)  # no hint: the usual time stands for work
 
@@ -220,7 +192,7 @@
         actions = self._attempt(pending, now) or []
         if actions or pending.out:
             return actions
-        self._sign(False, now)
+        self._shed.sign(False, now)
         return self._answer(pending)
 
     def _attempt(self, pending: Pending, now: int) -> list[Action]:
@@ -246,7 +218,7 @@
         pending.attempts.append(Attempt(host.info, now, *trials))
         host.in_flight += 1
         host.allowance -= pending.request.cost or expected
-        late = max(1, round(LATE * expected))
+        late = max(1, ceil(self._mark(pending)))  # rounded down, it would find that it is not late yet
         return [Send(request, host.info.id), SetTimer(late, f"{request}:{number}", request, number)]
 
     def _choose(self, pending: Pending, now: int) -> Host | None:
@@ -358,10 +330,10 @@
         late = taken > TARGET * pending.kind.aim
         served = outcome is Outcome.OK and not attempt.streams
         if served:
-            self._learn(host, pending, taken, now)
+            self._learn(host, pending, attempt, taken, now)
         # Calling off what was not late yet, as when its client leaves, says nothing of the load.
         if outcome is Outcome.OK or outcome is Outcome.TIMEOUT or (late and outcome is Outcome.CANCELLED):
-            self._sign(outcome is Outcome.OK and not late, now)
+            self._shed.sign(outcome is Outcome.OK and not late, now)
         if served:
             host.succeed(pending.kind, attempt, now)
         if not attempt.judged:  # else its verdict is given
@@ -369,20 +341,45 @@
             if not served:
                 self._judge_health(host, pending, attempt, now)
 
-    def _learn(self, host: Host, pending: Pending, taken: int, now: int) -> None:
+    def _learn(self, host: Host, pending: Pending, attempt: Attempt, taken: int, now: int) -> None:
         """What an answer tells of its host's pace, of the usual time of its like, and of the work done."""
         name, cost = pending.kind.name, pending.request.cost or 1
+        if not attempt.judged:
+            self._learn_mark(pending, False)
         host.paced, host.pace = now, host.pace + 0.2 * (taken / self._expected(pending) - host.pace)
         usual = self._usual.setdefault(name, taken / cost)
         self._usual[name] = usual = max(1 / cost, usual * STEP if taken / cost > usual else usual / STEP)
         self._count(host.info.kind, pending.request.cost or usual, now)
 
+    def _mark(self, pending: Pending) -> float:
+        """How long an attempt may be out before it is late."""
+        return self._marks.get(pending.kind.name, FIRST_MARK) * self._expected(pending)
+
+    def _learn_mark(self, pending: Pending, passed: bool) -> None:
+        """Move the mark of its class to where `LATE` of all attempts pass it."""
+        name = pending.kind.name
+        by = MARK_STEP * ((1 - LATE) if passed else -LATE)
+        self._marks[name] = max(LEAST_MARK, self._marks.get(name, FIRST_MARK) * (1 + by))
+
     def _judge_load(self, host: Host, pending: Pending, attempt: Attempt, now: int, ended: int) -> None:
-        if attempt.outcome is Outcome.OK and ended - pending.arrived <= TARGET * pending.kind.aim:
+        if attempt.outcome is Outcome.OK and ended - pending.arrived <= self._room(pending):
             host.widen()
         elif attempt.outcome is not Outcome.CANCELLED:
             host.narrow(attempt, now)
 
+    def _room(self, pending: Pending) -> float:
+        """The time within which it is answered while a server has room.
+
+        A class that leaves its answers more time than another must not crowd that one's servers: all are
+        held to the stretch of the tightest.
+        """
+        name, usual = pending.kind.name, self._usual
+        own = TARGET * pending.kind.aim
+        if name not in usual:
+            return own
+        tightest = min(self._classes[other].aim / usual[other] for other in usual)
+        return min(own, TARGET * tightest * usual[name])
+
     def _judge_health(self, host: Host, pending: Pending, attempt: Attempt, now: int) -> None:
         if attempt.outcome in FAILURES:
             self._fail(host, attempt, now)
@@ -416,7 +413,8 @@
             return []
         host = self._host_of(attempt)
         # Where the usual time grew since, there is no second look: its hedges cost more than they gained.
-        if host is not None and now - attempt.sent >= LATE * self._expected(pending):
+        if host is not None and now - attempt.sent >= self._mark(pending):
+            self._learn_mark(pending, True)
             attempt.judged = True
             self._fail(host, attempt, now)
             if attempt.class_trial or self._silent(host, pending, attempt, now):
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -8,7 +8,10 @@
 from whinrouter.breaker import Breaker, ClassBreaker
 from whinrouter.interface import SECOND, Attempt, Outcome, RequestClass, Server
 
-FIRST_LIMIT = 8.0  # attempts a balancer may have in flight at a server it has just met
+# Attempts that all balancers together may have in flight at a server that they have just met, and each of
+# them at least. All start together: with 8 for each of three, the first seconds of a day filled hosts of two
+# or three cores beyond what these recover from soon, and those were slow long after the load had gone.
+FIRST_LIMIT, LEAST_FIRST_LIMIT = 10.0, 3.0
 BACK_OFF = 0.7  # by which each sign of overload cuts that limit
 RECALL = SECOND // 2  # a server's pace is remembered for this long
 IN_VAIN = {None, Outcome.TIMEOUT, Outcome.CANCELLED}  # out, or given up while it was
@@ -22,15 +25,17 @@
     refilled: int  # when its allowance was brought up to date
     allowance: float = 0.0  # work that may be sent while cold
     in_flight: int = 0
-    limit: float = FIRST_LIMIT  # in flight at most; grows with answers in time, shrinks with late ones
+    limit: float = LEAST_FIRST_LIMIT  # in flight at most; grows with answers in time, shrinks with late ones
     cut: int = 0  # when the limit was last cut
     pace: float = 1.0  # how long its answers take, as a multiple of the usual time
     paced: int = 0
+    size: float = 1.0  # how much it can do, against the others
     classes: dict[str, ClassBreaker] = field(default_factory=dict)  # an entry for each class announced
 
     def busy(self, now: int) -> float:
-        """In flight by pace; a pace not seen again is forgotten, or a bad spell would last for ever."""
-        return (self.in_flight + 1) * (1 + (self.pace - 1) * max(0.0, 1 - (now - self.paced) / RECALL))
+        """In flight by size and pace; a pace not seen again is forgotten, or it would last for ever."""
+        pace = 1 + (self.pace - 1) * max(0.0, 1 - (now - self.paced) / RECALL)
+        return (self.in_flight + 1) * pace / self.size
 
     def of(self, kind: RequestClass) -> ClassBreaker:
         known = self.classes.get(kind.name)
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -117,6 +117,8 @@
     ramp_time: int = 0  # and is warm after this at the latest
     fall_multiple: float = 4.0  # sent more than this multiple of its present capacity
     fall_time: int = SECOND  # for this long, a cold server falls over
+    sized: bool = True  # weights tell how much servers can do, and not how busy they lately were
+    worst_class: float = 0.0  # what the worst-served class counts, as a multiple of what all together do
     cross_zone_price: float = 0.0
     probe_price: float = 0.0
     allowances: Mapping[str, float] = field(
--- a/whinrouter/wire.py
+++ b/whinrouter/wire.py
@@ -60,6 +60,7 @@
     allowed = setup.get("permissions") or {}
     rules = setup.get("invariants") or {}
     fees = setup.get("fees") or {}
+    goal = setup.get("goal") or {}
     reports = setup.get("report") or {}
     balancers = int(setup.get("balancers") or 1)
     over = setup.get("overShareWorth")
@@ -81,6 +82,8 @@
         ramp_time=int(rules.get("rampTime") or 0),
         fall_multiple=float(rules.get("fallMultiple") or 1.0),
         fall_time=int(rules.get("fall") or SECOND),
+        sized=setup.get("weightSource") != "live",
+        worst_class=float(goal.get("worstClass") or 0.0) / (float(goal.get("whole") or 0.0) or 1.0),
         cross_zone_price=float(fees.get("crossZone") or 0.0),
         probe_price=float(fees.get("probe") or 0.0),
         allowances={
