Limits by size, and none cut by connections that break

The probe (why a request was turned away, limits, breakers, each second) showed nearly all turned away before a first attempt, every limit at its least of 2.5, all but one or two breakers closed, and 20 to 40 resets a second at each gateway: each cut a limit as a late answer does. Hosts whose weight is 5 had the same least limit as those of 1.5.

- A reset cuts no limit; breakers go on judging resets.
- First and least limits follow the size of a host against the mean.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -113,6 +113,35 @@
     assert refused(counted, CHEAP, 50) < 1.1 * refused(counted, DEAR, 50)
 
 
+@pytest.mark.parametrize(
+    ("outcome", "cuts"),
+    [(Outcome.RESET, False), (Outcome.CANCELLED, False), (Outcome.REJECTED, True), (Outcome.ERROR, True)],
+)
+def test_a_connection_that_breaks_is_no_sign_of_load(outcome: Outcome, cuts: bool) -> None:
+    """Where one connection in ten broke, every limit stood at its least, and half was refused."""
+    driver = Driver(Settings((PATIENT,), balancers=3), 1, classes=(PATIENT,))
+    for _ in range(4):
+        request = driver.ask(PATIENT, timeout=PATIENT.deadline)
+        driver.now += 50 * MS
+        driver.end(driver.out(request)[0], outcome)
+        answer(driver, PATIENT, 50 * MS)
+    host = driver.balancer._hosts[1]
+    assert (host.limit < 3) is cuts
+
+
+def test_larger_servers_are_sent_more_at_first_and_at_least() -> None:
+    """A host five times as large had the same limits, and was idle while requests were refused."""
+    driver = Driver(Settings((PATIENT,)), 0, classes=(PATIENT,))
+    driver.list_servers((Server(1, weight=1.0), Server(2, weight=3.0)))
+    small, large = (driver.balancer._hosts[server] for server in (1, 2))
+    assert (small.limit, large.limit) == (5.0, 15.0)
+    assert (small.least, large.least) == (2.5, 7.5)
+    large.limit = 4.0  # learnt; the list comes again, with one more
+    driver.list_servers((Server(1, weight=1.0), Server(2, weight=3.0), Server(3, weight=2.0)))
+    assert large.limit == 4.0
+    assert driver.balancer._hosts[3].limit == 10.0
+
+
 def shares(options: Settings) -> dict[int, int]:
     """How many of 300 requests each of two servers got, the second being said to be three times the first."""
     driver = Driver(options, 0, classes=(SCATTERED,))
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from whinrouter.breaker import Breaker
-from whinrouter.host import Host
+from whinrouter.host import FIRST_LIMIT, LAST_LIMIT, LEAST_FIRST_LIMIT, LEAST_LAST_LIMIT, Host
 from whinrouter.interface import (
     SECOND, Action, Attempt, AttemptEnded, Cancel, Effect, Event, Fail, Outcome, Pending, Refuse, Request,
     RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId, ServerList, SetTimer, Settings,
@@ -45,6 +45,9 @@
 
 # A time-out is none: the client's own limit cut it short. Being late is judged before, by peers.
 FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.UNKNOWN}
+# What says nothing of load: where the way to the hosts broke one connection in ten, all limits stood at their
+# least and half of the requests were refused.
+NO_LOAD = {Outcome.CANCELLED, Outcome.RESET}
 # Connections that never come up or break tell of the host or the way to it, not of what was asked.
 CLASS_FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.UNKNOWN}
 
@@ -93,6 +96,7 @@
         if event.update is Update.ERROR:  # the list in hand stays in force; ask again, not all at once
             return [SetTimer(round(SECOND * self._random.uniform(0.5, 1.5)), "subscribe")] if asks else []
         named = {server.id: server for server in event.servers}
+        met: list[Host] = []
         if event.update is not Update.CHANGES:
             self._hosts = {server: host for server, host in self._hosts.items() if server in named}
         for server, info in named.items():
@@ -103,16 +107,26 @@
             if known is None or known.info.started != info.started:
                 # A restarted server is a new one: cold, and its breaker fresh.
                 known = self._hosts[server] = Host(info, self._random, Breaker(self._random), now)
-                known.begin(self._settings.balancers)
+                met.append(known)
             else:
                 known.info = info
             if self._settings.sized and info.weight > 0:
                 known.size = info.weight
+        self._allot(met)
         self._summed = now - SUM_EVERY
         self._order, self._spill = self._subset()
         self._here = [host for host in self._order if host.info.zone == self._settings.zone]
         return [Subscribe()] if asks and event.update is Update.STALE else []
 
+    def _allot(self, met: list[Host]) -> None:
+        """Give each server its bounds, by its size among those there are, and those just met their limits."""
+        whole = sum(host.size for host in self._hosts.values())
+        for host in self._hosts.values():
+            part = host.size * len(self._hosts) / whole / self._settings.balancers
+            host.least = max(LEAST_LAST_LIMIT, LAST_LIMIT * part)
+            if host in met:
+                host.limit = max(LEAST_FIRST_LIMIT, FIRST_LIMIT * part)
+
     def _subset(self) -> tuple[list[Host], list[Host]]:
         """This balancer's servers, and the others in the order in which they stand in.
 
@@ -368,7 +382,7 @@
     def _judge_load(self, host: Host, pending: Pending, attempt: Attempt, now: int, ended: int) -> None:
         if attempt.outcome is Outcome.OK and ended - pending.arrived <= self._room(pending):
             host.widen()
-        elif attempt.outcome is not Outcome.CANCELLED:
+        elif attempt.outcome not in NO_LOAD:
             host.narrow(attempt, now)
 
     def _room(self, pending: Pending) -> float:
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -8,9 +8,9 @@
 from whinrouter.breaker import Breaker, ClassBreaker
 from whinrouter.interface import SECOND, Attempt, Outcome, RequestClass, Server
 
-# Attempts that all balancers together may have in flight at a server that they have just met, and each of
-# them at least. All start together: with 8 for each of three, the first seconds of a day filled hosts of two
-# or three cores beyond what these recover from soon, and those were slow long after the load had gone.
+# Attempts that all balancers together may have in flight at a server of mean size that they have just met,
+# and each of them at least. All start together: with 8 for each of three, the first seconds of a day filled
+# hosts of two or three cores beyond what these recover from soon, and they were slow long after the load.
 FIRST_LIMIT, LEAST_FIRST_LIMIT = 10.0, 3.0
 # And what signs of overload leave to all together, and to each of them. Some answers are late on any host;
 # where two balancers share ten, and one has most of the traffic, one in flight from each is no load.
@@ -36,11 +36,6 @@
     size: float = 1.0  # how much it can do, against the others
     classes: dict[str, ClassBreaker] = field(default_factory=dict)  # an entry for each class announced
 
-    def begin(self, balancers: int) -> None:
-        """Set what so many balancers, all alike, may have in flight at a server that they meet together."""
-        self.limit = max(LEAST_FIRST_LIMIT, FIRST_LIMIT / balancers)
-        self.least = max(LEAST_LAST_LIMIT, LAST_LIMIT / balancers)
-
     def busy(self, now: int) -> float:
         """In flight by size and pace; a pace not seen again is forgotten, or it would last for ever."""
         pace = 1 + (self.pace - 1) * max(0.0, 1 - (now - self.paced) / RECALL)
