Judge an attempt late by the mark that it was sent with

Seen: `test_silent_servers_are_found_before_the_time_out` failed, three silent hosts with one attempt each: the first that was late raised the learnt mark by a fifth, the timers of the other two then found them under it, and nobody looked again. At fault: `_on_late`, which compared with the mark of the moment. An attempt now carries its own.

--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -230,11 +230,12 @@
 
     def _send(self, pending: Pending, host: Host, now: int) -> list[Action]:
         request, number, expected = pending.request.id, len(pending.attempts), self._expected(pending)
+        mark = self._marks.get(pending.kind.name, FIRST_MARK)
         trials = host.breaker.start(), host.of(pending.kind).start()
-        pending.attempts.append(Attempt(host.info, now, *trials))
+        pending.attempts.append(Attempt(host.info, now, *trials, mark=mark))
         host.in_flight += 1
         host.allowance -= pending.request.cost or expected
-        late = max(1, ceil(self._mark(pending)))  # rounded down, it would find that it is not late yet
+        late = max(1, ceil(mark * expected))  # rounded down, it would find that it is not late yet
         return [Send(request, host.info.id), SetTimer(late, f"{request}:{number}", request, number)]
 
     def _choose(self, pending: Pending, now: int) -> Host | None:
@@ -369,10 +370,6 @@
         self._typical[name] = max(1, typical * STEP if taken > typical else typical / STEP)
         self._count(host.info.kind, pending.request.cost or usual, now)
 
-    def _mark(self, pending: Pending) -> float:
-        """How long an attempt may be out before it is late."""
-        return self._marks.get(pending.kind.name, FIRST_MARK) * self._expected(pending)
-
     def _learn_mark(self, pending: Pending, passed: bool) -> None:
         """Move the mark of its class to where `LATE` of all attempts pass it."""
         name = pending.kind.name
@@ -431,7 +428,8 @@
             return []
         host = self._host_of(attempt)
         # Where the usual time grew since, there is no second look: its hedges cost more than they gained.
-        if host is not None and now - attempt.sent >= self._mark(pending):
+        # By the mark that it was sent with: the first that passes one moves it, and would hide the others.
+        if host is not None and now - attempt.sent >= attempt.mark * self._expected(pending):
             self._learn_mark(pending, True)
             attempt.judged = True
             self._fail(host, attempt, now)
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -285,6 +285,7 @@
     judged: bool = False  # its server has had the verdict while it was out
     streams: bool = False  # the client's own since its answer began
     outcome: Outcome | None = None  # None while it is out
+    mark: float = 0.0  # the multiple of the usual time after which it is late
 
     @property
     def may_have_run(self) -> bool:
