Keep the sum of limits where many gateways have less than one request at a server each

The module's state second by second: each gateway sent 3 at once to hosts of three cores, which 12 to 21 overdrive, and what signs of load left was one from each, so that they stayed so. At fault: `LEAST_FIRST_LIMIT` and `LEAST_LAST_LIMIT`, floors of one gateway whatever the number of gateways. Ruled out: fast errors, which had ended 20 s before the refusals did.

Change: first limits go down to 1 and least ones to 0.25 of a request, a server takes one at least, and where a least limit is under 1 what is out stays under the sum of all limits. With few gateways nothing is summed.

The cost of a request was not measured again.

Tried and not landed: limits that rest at a share of late answers.

--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -70,6 +70,7 @@
         self._summed = -SUM_EVERY
         self._shed = Shedding(settings)
         self._order: list[Host] = []  # for drawing at random
+        self._crowded = False  # so many balancers that one's part of a host may be less than a request
         self._here: list[Host] = []  # those of them in this balancer's zone
         self._spill: list[Host] = []  # those outside its subset, in the order in which they stand in
         self._patience: dict[str, int] = {}  # the longest time a client has left to its first try, by class
@@ -126,6 +127,7 @@
             host.least = max(LEAST_LAST_LIMIT, LAST_LIMIT * part)
             if host in met:
                 host.limit = max(LEAST_FIRST_LIMIT, FIRST_LIMIT * part)
+        self._crowded = any(host.least < 1 for host in self._hosts.values())
 
     def _subset(self) -> tuple[list[Host], list[Host]]:
         """This balancer's servers, and the others in the order in which they stand in.
@@ -240,6 +242,8 @@
 
     def _choose(self, pending: Pending, now: int) -> Host | None:
         """Two random servers that admit: the less busy first, the other as its fallback."""
+        if self._crowded and self._full():
+            return None
         tried = {attempt.server.id for attempt in pending.attempts}
         fallback = self._hosts.get(pending.fallback) if pending.fallback is not None else None
         if fallback and fallback.info.id not in tried and self._admits(fallback, pending, now):
@@ -256,6 +260,11 @@
         pending.fallback = None
         return first
 
+    def _full(self) -> bool:
+        """Whether the sum of limits is out. Each host takes one at least, but a limit may be less."""
+        room = sum([host.limit for host in self._hosts.values()])
+        return sum([host.in_flight for host in self._hosts.values()]) >= max(1.0, room)
+
     def _candidates(self, key: str | None) -> Iterator[Host]:
         """The servers in random order; where they warm to keys, as the hash of the key ranks them."""
         if key is not None and self._settings.warm_keys:
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -9,12 +9,12 @@
 from whinrouter.interface import SECOND, Attempt, Outcome, RequestClass, Server
 
 # Attempts that all balancers together may have in flight at a server of mean size that they have just met,
-# and each of them at least. All start together: with 8 for each of three, the first seconds of a day filled
-# hosts of two or three cores beyond what these recover from soon, and they were slow long after the load.
-FIRST_LIMIT, LEAST_FIRST_LIMIT = 10.0, 3.0
+# and each of them at least. All start together: with 8 for each of three, or 3 for each of eight, the first
+# seconds of a day filled hosts of two or three cores beyond what these recover from soon.
+FIRST_LIMIT, LEAST_FIRST_LIMIT = 10.0, 1.0
 # And what signs of overload leave to all together, and to each of them. Some answers are late on any host;
 # where two balancers share ten, and one has most of the traffic, one in flight from each is no load.
-LAST_LIMIT, LEAST_LAST_LIMIT = 5.0, 1.0
+LAST_LIMIT, LEAST_LAST_LIMIT = 5.0, 0.25
 BACK_OFF = 0.7  # by which each sign of overload cuts that limit
 RECALL = SECOND // 2  # a server's pace is remembered for this long
 IN_VAIN = {None, Outcome.TIMEOUT, Outcome.CANCELLED}  # out, or given up while it was
@@ -28,7 +28,7 @@
     refilled: int  # when its allowance was brought up to date
     allowance: float = 0.0  # work that may be sent while cold
     in_flight: int = 0
-    limit: float = LEAST_FIRST_LIMIT  # in flight at most; grows with answers in time, shrinks with late ones
+    limit: float = LEAST_FIRST_LIMIT  # in flight at most, or one; grows with answers in time
     least: float = LEAST_LAST_LIMIT  # below which it does not shrink
     cut: int = 0  # when the limit was last cut
     pace: float = 1.0  # how long its answers take, as a multiple of the usual time
@@ -48,7 +48,7 @@
         return known
 
     def admits(self, kind: RequestClass, now: int) -> bool:
-        room = self.in_flight < int(self.limit)
+        room = self.in_flight < max(1, int(self.limit))
         return room and self.breaker.admits(now) and self.of(kind).admits(now)
 
     def widen(self) -> None:
