Keep the sums of limits as they move, and draw deployments with faster requests

The sum of limits, which many gateways with less than one request at a server each keep to, was counted at each choice; with a thousand servers that took some ten times as long as all else (`Balancer._full`). It is kept as limits and requests in flight move, and counted anew with each list; a seeded test holds both against what they sum.

--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -1,6 +1,6 @@
 """Draws deployments that nobody tuned to out of a given site file, and writes each as one.
 
-    python -m benchmarks.deployments SITE [SITE ...] --out DIR [--seeds 1-12] [--table]
+    python -m benchmarks.deployments SITE [SITE ...] --out DIR [--seeds 1-12] [--faster 4] [--table]
 
 A drawn deployment differs from its parent in what a program may have got used to: how many servers and
 gateways there are, the cores and speeds of servers, what they hold, how far zones lie apart, how much work
@@ -8,6 +8,10 @@
 request. Each change is drawn by itself, so that most deployments differ in several. The same seed and
 parent draw the same deployment on any machine; no text of the parent stands here. A bench that plays site
 files plays them; the journal tells what it found. `--table` prints what was changed.
+
+`--faster N` writes each parent once more, with work, waits, aims and deadlines an N-th of what they were
+and two gateways: requests come and go as many times as fast, as on sockets. What goes by the clock, as how
+soon a server is overdriven, stays. A rule that counts answers where it should count time shows itself.
 """
 
 from __future__ import annotations
@@ -16,6 +20,7 @@
 import sys
 import tomllib
 from collections.abc import Callable
+from copy import deepcopy
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -76,15 +81,19 @@
     return f"distance x {by:g}"
 
 
-def _work(site: Site, random: Random) -> str:
-    """Requests of another size; what servers hold back for no core shrinks alike, and the fleet with it."""
-    by, slack = random.choice((0.15, 0.4, 1.5)), random.choice((0.8, 1.0, 1.6))
+def _resize(site: Site, by: float, slack: float) -> None:
+    """Requests of another size: their work and what they wait for; their times by that and the slack."""
     for kind in site["class"]:
         for key in ("work_ms", "io_ms"):
             if key in kind:
                 kind[key] = _scaled(kind[key], by)
         for key in ("aim_ms", "deadline_ms"):
             kind[key] = round(kind[key] * by * slack)
+
+
+def _work(site: Site, random: Random) -> str:
+    by, slack = random.choice((0.15, 0.4, 1.5)), random.choice((0.8, 1.0, 1.6))
+    _resize(site, by, slack)
     return f"work x {by:g}, aims x {by * slack:g}"
 
 
@@ -123,16 +132,29 @@
 )  # fmt: skip
 
 
+def _renamed(site: Site, name: str, beside: Path) -> Site:
+    """Its days are its own; what it names beside it is found from anywhere."""
+    site.pop("stock", None)
+    site["name"] = name
+    if "wire" in site:
+        site["wire"] = str((beside / site["wire"]).resolve())
+    return site
+
+
 def draw(parent: Site, seed: int, beside: Path) -> tuple[Site, list[str]]:
     """A deployment drawn from its parent, and what differs; `beside` is its parent's folder."""
     random = Random(f"{parent['name']} {seed}")
-    site: Site = tomllib.loads(tomli_w.dumps(parent))  # a copy
+    site = deepcopy(parent)
     told = [change(site, random) for change in CHANGES if random.random() < CHANGED]
-    site.pop("stock", None)  # its days are its own
-    site["name"] = f"drawn-{parent['name']}-{seed}"
-    if "wire" in site:
-        site["wire"] = str((beside / site["wire"]).resolve())
-    return site, told
+    return _renamed(site, f"drawn-{parent['name']}-{seed}", beside), told
+
+
+def faster(parent: Site, times: float, beside: Path) -> Site:
+    """The parent with so many times the requests, each so much smaller, before two gateways."""
+    site = deepcopy(parent)
+    _resize(site, 1 / times, 1.0)
+    site["scale"].update(balancers=[2, 2], big_balancers=[2, 3])
+    return _renamed(site, f"faster-{parent['name']}", beside)
 
 
 def _seeds(text: str) -> list[int]:
@@ -145,16 +167,20 @@
     parser.add_argument("site", type=Path, nargs="+")
     parser.add_argument("--out", type=Path, required=True)
     parser.add_argument("--seeds", type=_seeds, default=_seeds("1-6"))
+    parser.add_argument("--faster", type=float, metavar="N")
     parser.add_argument("--table", action="store_true")
     options = parser.parse_args()
     options.out.mkdir(parents=True, exist_ok=True)
     for path in options.site:
         parent = tomllib.loads(path.read_text())
-        for seed in options.seeds:
-            site, told = draw(parent, seed, path.parent)
+        drawn = [(seed, *draw(parent, seed, path.parent)) for seed in options.seeds]
+        sites = [site for _, site, _ in drawn]
+        if options.faster is not None:
+            sites.append(faster(parent, options.faster, path.parent))
+        for site in sites:
             (options.out / f"{site['name']}.toml").write_text(tomli_w.dumps(site))
-            if options.table:
-                print(f"| {parent['name']} {seed} | {'; '.join(told)} |")
+        for seed, _, told in drawn if options.table else ():
+            print(f"| {parent['name']} {seed} | {'; '.join(told)} |")
     return 0
 
 
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -110,6 +110,7 @@
     driver = Driver(Settings((PATIENT,), balancers=20), 12, classes=(PATIENT,))
     for host in driver.balancer._hosts.values():
         host.limit = host.least
+    driver.list_servers(driver.listed.values())
     asked = [driver.ask(PATIENT) for _ in range(12)]
     assert len(driver.out()) == 3
     driver.end(driver.out()[0])
@@ -117,6 +118,27 @@
     assert sum(driver.answers[request] == ["refused"] for request in asked) == 9
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_the_sums_are_kept_as_limits_move_and_servers_come_and_go(seed: int) -> None:
+    """With a thousand servers, counting them at each choice took some ten times as long as all else."""
+    driver, random = Driver(Settings((PATIENT,), balancers=20), 6, classes=(PATIENT,)), Random(seed)
+    balancer, moved = driver.balancer, 0
+    for _ in range(400):
+        driver.ask(PATIENT, timeout=PATIENT.deadline)
+        driver.now += random.randrange(1, 900) * MS
+        driver.expire()
+        for sent in random.sample(driver.out(), len(driver.out()) // 2):
+            driver.end(sent, random.choice((Outcome.OK, Outcome.OK, Outcome.REJECTED, Outcome.RESET)))
+        if random.random() < 0.05:
+            started = random.choice((0, driver.now))  # some restart, and what is out at them is out no more
+            driver.list_servers(Server(each, started=started) for each in random.sample(range(1, 9), 5))
+        hosts = balancer._hosts.values()
+        moved += any(host.limit not in (0.25, 1.0) for host in hosts)
+        assert balancer._out == sum(host.in_flight for host in hosts)
+        assert balancer._limits == pytest.approx(sum(host.limit for host in hosts))
+    assert moved > 100
+
+
 def test_the_worst_served_class_is_not_given_up_where_it_counts() -> None:
     """The class of least worth was turned away whole, though the worst-served one was a fifth of the goal."""
     alone = overloaded()
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -71,6 +71,7 @@
         self._shed = Shedding(settings)
         self._order: list[Host] = []  # for drawing at random
         self._crowded = False  # so many balancers that one's part of a host may be less than a request
+        self._out, self._limits = 0, 0.0  # sums over the hosts, counted anew with each list
         self._here: list[Host] = []  # those of them in this balancer's zone
         self._spill: list[Host] = []  # those outside its subset, in the order in which they stand in
         self._patience: dict[str, int] = {}  # the longest time a client has left to its first try, by class
@@ -128,6 +129,8 @@
             if host in met:
                 host.limit = max(LEAST_FIRST_LIMIT, FIRST_LIMIT * part)
         self._crowded = any(host.least < 1 for host in self._hosts.values())
+        self._out = sum(host.in_flight for host in self._hosts.values())
+        self._limits = sum(host.limit for host in self._hosts.values())
 
     def _subset(self) -> tuple[list[Host], list[Host]]:
         """This balancer's servers, and the others in the order in which they stand in.
@@ -236,13 +239,15 @@
         trials = host.breaker.start(), host.of(pending.kind).start()
         pending.attempts.append(Attempt(host.info, now, *trials, mark=mark))
         host.in_flight += 1
+        self._out += 1
         host.allowance -= pending.request.cost or expected
         late = max(1, ceil(mark * expected))  # rounded down, it would find that it is not late yet
         return [Send(request, host.info.id), SetTimer(late, f"{request}:{number}", request, number)]
 
     def _choose(self, pending: Pending, now: int) -> Host | None:
         """Two random servers that admit: the less busy first, the other as its fallback."""
-        if self._crowded and self._full():
+        # Each host takes one at least, but a limit may be less: then their sum is kept.
+        if self._crowded and self._out >= max(1.0, self._limits):
             return None
         tried = {attempt.server.id for attempt in pending.attempts}
         fallback = self._hosts.get(pending.fallback) if pending.fallback is not None else None
@@ -260,11 +265,6 @@
         pending.fallback = None
         return first
 
-    def _full(self) -> bool:
-        """Whether the sum of limits is out. Each host takes one at least, but a limit may be less."""
-        room = sum([host.limit for host in self._hosts.values()])
-        return sum([host.in_flight for host in self._hosts.values()]) >= max(1.0, room)
-
     def _candidates(self, key: str | None) -> Iterator[Host]:
         """The servers in random order; where they warm to keys, as the hash of the key ranks them."""
         if key is not None and self._settings.warm_keys:
@@ -325,6 +325,7 @@
         attempt.outcome = event.outcome
         host = self._host_of(attempt)
         if host is not None:
+            self._out -= min(1, host.in_flight)
             host.in_flight = max(0, host.in_flight - 1)
             self._judge(host, pending, attempt, now, now - event.waited)
         if not event.answered and not pending.answered:
@@ -386,10 +387,12 @@
         self._marks[name] = max(LEAST_MARK, self._marks.get(name, FIRST_MARK) * (1 + by))
 
     def _judge_load(self, host: Host, pending: Pending, attempt: Attempt, now: int, ended: int) -> None:
+        before = host.limit
         if attempt.outcome is Outcome.OK and ended - pending.arrived <= self._room(pending):
             host.widen()
         elif attempt.outcome not in NO_LOAD:
             host.narrow(attempt, now)
+        self._limits += host.limit - before
 
     def _room(self, pending: Pending) -> float:
         """The time within which it is answered while a server has room.
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -14,6 +14,7 @@
 FIRST_LIMIT, LEAST_FIRST_LIMIT = 10.0, 1.0
 # And what signs of overload leave to all together, and to each of them. Some answers are late on any host;
 # where two balancers share ten, and one has most of the traffic, one in flight from each is no load.
+# A quarter from each: the fewest servers that one keeps to, four, are then worth one request.
 LAST_LIMIT, LEAST_LAST_LIMIT = 5.0, 0.25
 BACK_OFF = 0.7  # by which each sign of overload cuts that limit
 RECALL = SECOND // 2  # a server's pace is remembered for this long
