Take calls on a second address, drain and fill the gateway, take settings anew

whinrouter/control/ takes one line a connection and answers it, ahead of all clients; whinrouter/operations/ holds, without I/O, what is out, whether clients may come, and whether new settings may be taken. The module goes on by other settings (Balancer.retune); a request keeps its class and gets no more attempts than either settings allow. The front takes what was sent by the old settings for a while, and gives it to the module as a class never announced. The inherited socket is used where there is one. 40 descriptors are reserved, not 32.

--- /dev/null
+++ b/tests/operations/test_maintenance.py
@@ -0,0 +1,109 @@
+"""Hosts taken out: a model beside any order of lists and calls."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from whinrouter.interface import Server, ServerId, State, Update
+from whinrouter.operations.maintenance import Maintenance, NoSuchHostError
+
+IDS = st.integers(1, 4)
+STATES = st.sampled_from([State.READY, State.READY, State.DRAINING, State.GONE])
+
+
+class Calls(RuleBasedStateMachine):
+    """The gateway has what discovery lists less what is out, and cold where it was put back."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.state = Maintenance()
+        self.now = 100
+        self.shown: dict[ServerId, Server] = {}  # what the gateway has
+        self.listed: dict[ServerId, Server] = {}  # what discovery has told
+        self.out: set[ServerId] = set()
+
+    def _take(self, servers: tuple[Server, ...]) -> None:
+        for server in servers:
+            self.shown[server.id] = server
+
+    @rule(server_id=IDS, state=STATES, restarted=st.booleans())
+    def changes(self, server_id: int, state: State, restarted: bool) -> None:
+        self.now += 10
+        started = self.now if restarted else self.listed.get(server_id, Server(server_id)).started
+        server = Server(server_id, state, started=started)
+        if state is State.GONE:
+            self.listed.pop(server_id, None)
+        else:
+            self.listed[server_id] = server
+        self._take(self.state.follow(Update.CHANGES, (server,)))
+
+    @rule(ids=st.sets(IDS))
+    def whole(self, ids: set[int]) -> None:
+        self.now += 10
+        self.listed = {i: replace(self.listed.get(i, Server(i)), state=State.READY) for i in ids}
+        self.shown = {}
+        self._take(self.state.follow(Update.FULL, tuple(self.listed.values())))
+
+    @rule(server_id=IDS)
+    def take_out(self, server_id: int) -> None:
+        self.now += 10
+        if server_id not in self.listed and server_id not in self.out:
+            with pytest.raises(NoSuchHostError):
+                self.state.take_out(server_id, self.now)
+            return
+        self.out.add(server_id)
+        self._take(self.state.take_out(server_id, self.now))
+
+    @rule(server_id=IDS)
+    def put_back(self, server_id: int) -> None:
+        self.now += 10
+        if server_id not in self.listed and server_id not in self.out:
+            with pytest.raises(NoSuchHostError):
+                self.state.put_back(server_id, self.now)
+            return
+        was_out = server_id in self.out
+        self.out.discard(server_id)
+        back = self.state.put_back(server_id, self.now)
+        self._take(back)
+        if was_out and server_id in self.listed:
+            assert back[0].started == self.now, "its return is cold"
+
+    @precondition(lambda self: self.out)
+    @rule()
+    def upgrade(self) -> None:
+        """Another process goes on with what this one has."""
+        fresh = Maintenance()
+        fresh.adopt(self.state.out, self.state.back)
+        self.shown = {}
+        self._take(fresh.follow(Update.STALE, tuple(self.listed.values())))
+        self.state = fresh
+
+    @invariant()
+    def nothing_out_is_ready(self) -> None:
+        ready = {i for i, server in self.shown.items() if server.state is State.READY}
+        assert not ready & self.out
+        assert ready == {i for i, s in self.listed.items() if s.state is State.READY} - self.out
+
+    @invariant()
+    def no_start_is_told_too_early(self) -> None:
+        for server_id, server in self.listed.items():
+            assert self.shown[server_id].started >= server.started
+
+
+TestCalls = Calls.TestCase
+
+
+def test_the_restart_of_one_call_is_one_restart() -> None:
+    """Discovery tells late of the start between the calls; later it tells of another."""
+    state = Maintenance()
+    state.follow(Update.FULL, (Server(1, started=5),))
+    state.take_out(1, 10)
+    assert state.put_back(1, 20)[0].started == 20
+    assert state.follow(Update.CHANGES, (Server(1, started=15),))[0].started == 20
+    assert state.follow(Update.CHANGES, (Server(1, started=30),))[0].started == 30
+    assert state.follow(Update.CHANGES, (Server(1, started=30),))[0].started == 30
+    assert not state.back
--- a/whinrouter/__main__.py
+++ b/whinrouter/__main__.py
@@ -9,36 +9,49 @@
 
 from whinrouter.net.config import Config, ConfigError, load, reload
 from whinrouter.net.discovery import Discovery
-from whinrouter.program import RESERVED, Hosts, Plan, log_to_stderr, serve
+from whinrouter.program import RESERVED, Hosts, Plan, Retune, Tuning, log_to_stderr, serve
 
 log = logging.getLogger("whinrouter")
 
 
+# What a start alone decides, and so no reload; the rest of what a file names is in force at once.
+_AT_START = ("name", "listen", "control")
+
+
 class _Reload:
-    """On SIGHUP: read the file again, and watch the discovery that it names."""
+    """On SIGHUP: read the file again; take its settings and its discovery, or nothing of it."""
 
     def __init__(self, config: Config) -> None:
         self._config = config
 
-    def __call__(self, hosts: Hosts) -> None:
+    def __call__(self, hosts: Hosts, retune: Retune) -> None:
         assert isinstance(hosts, Discovery)
+        old = self._config
         try:
-            told = reload(os.environ)
+            told = reload(os.environ, old)
         except ConfigError as error:
             log.error("reload: %s; going on with what is in force", error)
             return
-        old, self._config = self._config, replace(self._config, discovery=told.discovery)
+        waiting = [key for key in _AT_START if getattr(told, key) != getattr(old, key)]
+        self._config = replace(told, **{key: getattr(old, key) for key in _AT_START})
         if told.discovery != old.discovery:
             log.info("reload: discovery is now at %s:%d", *told.discovery)
             hosts.move(told.discovery)
-        # These two are new in every file, and of use at a start alone.
-        if replace(told, seed=old.seed, known=old.known) != self._config:
-            log.warning("reload: only discovery changes; the rest of the file waits for the next start")
+        if tuning(told) != tuning(old):
+            retune(tuning(told))
+        if waiting:
+            log.warning("reload: %s waits for the next start", ", ".join(waiting))
+
+
+def tuning(config: Config) -> Tuning:
+    """What of a configuration may change while the gateway serves."""
+    half = max(1, (config.sockets - RESERVED) // 2)
+    return Tuning(config.settings, config.connect_time, config.idle_time, half, half)
 
 
 def plan(config: Config) -> Plan:
     """What the platform tells, as a gateway is started with it."""
-    half = max(1, (config.sockets - RESERVED) // 2)
+    tuned = tuning(config)
     return Plan(
         name=config.name,
         listen=config.listen,
@@ -49,8 +62,10 @@
         reload=_Reload(config),
         connect_time=config.connect_time,
         idle_time=config.idle_time,
-        clients=half,
-        connections=half,
+        clients=tuned.clients,
+        connections=tuned.connections,
+        control=config.control,
+        listener=config.listener,
     )
 
 
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -93,6 +93,23 @@
         pending = self._pending.get(event.request) if isinstance(event, RequestGone) else None
         return self._settle(pending) if pending else []
 
+    def retune(self, settings: Settings) -> None:
+        """Go on by other settings. Requests under way keep their class, and get no more attempts than either.
+
+        What was learnt of hosts stays, as it is theirs; what was learnt of a class goes with the class.
+        """
+        self._settings = settings
+        self._classes = {kind.name: kind for kind in settings.classes}
+        for learnt in (self._patience, self._usual, self._typical, self._marks):
+            for name in [name for name in learnt if name not in self._classes]:
+                del learnt[name]
+        for host in self._hosts.values():
+            host.classes = {name: known for name, known in host.classes.items() if name in self._classes}
+        self._shed = self._shed.retuned(settings)
+        self._most_spare = max(1.0, EXTRA_BURST / settings.balancers)
+        self._spare = min(self._spare, self._most_spare)
+        self._arrange([])
+
     def _on_servers(self, event: ServerList, now: int) -> list[Action]:
         asks = self._settings.must_subscribe
         if event.update is Update.ERROR:  # the list in hand stays in force; ask again, not all at once
@@ -114,11 +131,14 @@
                 known.info = info
             if self._settings.sized and info.weight > 0:
                 known.size = info.weight
-        self._allot(met)
         self._summed = now - SUM_EVERY
+        self._arrange(met)
+        return [Subscribe()] if asks and event.update is Update.STALE else []
+
+    def _arrange(self, met: list[Host]) -> None:
+        self._allot(met)
         self._order, self._spill = self._subset()
         self._here = [host for host in self._order if host.info.zone == self._settings.zone]
-        return [Subscribe()] if asks and event.update is Update.STALE else []
 
     def _allot(self, met: list[Host]) -> None:
         """Give each server its bounds, by its size among those there are, and those just met their limits."""
@@ -186,7 +206,7 @@
             self._classes[kind.name] = kind  # one for all of them: names are at a peer's will
         # With nothing out, nobody can tell that an overload is over until another is let through.
         blind = not self._pending
-        pending = Pending(event, kind, now, now + event.timeout)
+        pending = Pending(event, kind, now, now + event.timeout, self._settings.max_attempts)
         self._pending[event.id] = pending
         self._spare = min(self._most_spare, self._spare + EXTRA_SHARE)
         turned = self._shed.turns_away(event, kind, self._cost(pending), now, blind, self._random)
@@ -217,7 +237,7 @@
         return self._answer(pending)
 
     def _attempt(self, pending: Pending, now: int) -> list[Action]:
-        if now >= pending.deadline or len(pending.attempts) >= self._settings.max_attempts:
+        if now >= pending.deadline or len(pending.attempts) >= min(pending.most, self._settings.max_attempts):
             return []
         extra = bool(pending.attempts) and (len(pending.attempts) > 1 or bool(pending.out))
         # A first try and its fallback are free; more from hundreds of balancers swamp what still works.
@@ -371,9 +391,12 @@
     def _learn(self, host: Host, pending: Pending, attempt: Attempt, taken: int, now: int) -> None:
         """What an answer tells of its host's pace, of the usual time of its like, and of the work done."""
         name, cost = pending.kind.name, pending.request.cost or 1
+        host.paced, host.pace = now, host.pace + 0.2 * (taken / self._expected(pending) - host.pace)
+        if self._classes.get(name) is not pending.kind:  # its class has changed, or there is none any more
+            self._count(host.info.kind, cost, now)
+            return
         if not attempt.judged:
             self._learn_mark(pending, False)
-        host.paced, host.pace = now, host.pace + 0.2 * (taken / self._expected(pending) - host.pace)
         usual = self._usual.setdefault(name, taken / cost)
         self._usual[name] = usual = max(1 / cost, usual * STEP if taken / cost > usual else usual / STEP)
         if name:  # what was never announced may be anything: it must not tighten the others' room
--- /dev/null
+++ b/whinrouter/control/__init__.py
@@ -0,0 +1,1 @@
+"""The second address: calls of operators, one line to a connection."""
--- /dev/null
+++ b/whinrouter/control/shell.py
@@ -0,0 +1,121 @@
+"""The listener of the second address.
+
+It does not stand in line with clients: the loop's `Door` knows nothing of its descriptors, and so has them
+handled ahead of all clients at the process's own limit. Callers that say nothing take one of `MOST_OPEN`
+places; where these are full, the one that has waited longest gives way to the next, so that they shut
+nobody out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections import OrderedDict
+
+from whinrouter.control.calls import Calls
+from whinrouter.control.session import BadCallError, Call, Session, bad
+
+log = logging.getLogger(__name__)
+
+MOST_OPEN = 8  # callers at once; their descriptors are reserved (RESERVED in program.py)
+# Seconds that a caller may take for its line. People type, and some hold a connection for 4 s before they
+# call.
+PATIENCE = 10.0
+BACKLOG = 64
+LINGER = 1.0  # seconds for which a caller may go on sending behind its line: to close at once would reset it
+
+
+class ControlServer:
+    """Takes callers, and answers each with what `calls` says."""
+
+    def __init__(self, calls: Calls) -> None:
+        self.calls = calls
+        self.callers: OrderedDict[_Caller, None] = OrderedDict()  # by the time of their coming
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> int:
+        """Take callers; return the port. OSError if the address is taken."""
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        loop = asyncio.get_running_loop()
+        # One accept a turn: none takes a descriptor before it is counted.
+        self._server = await loop.create_server(lambda: _Caller(self), sock=listener, backlog=1)
+        listener.listen(BACKLOG)
+        return int(listener.getsockname()[1])
+
+    def admit(self, caller: _Caller) -> None:
+        """Count one more, in the place of the one that has waited longest if there is none left."""
+        while len(self.callers) >= MOST_OPEN:
+            next(iter(self.callers)).drop()
+        self.callers[caller] = None
+
+    def close(self) -> None:
+        """Take no more callers."""
+        if self._server is not None:
+            self._server.close()
+        for caller in list(self.callers):
+            caller.drop()
+
+
+class _Caller(asyncio.Protocol):
+    def __init__(self, server: ControlServer) -> None:
+        self._server = server
+        self._session = Session()
+        self._transport: asyncio.Transport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.admit(self)
+        self._timer = asyncio.get_running_loop().call_later(PATIENCE, self.drop)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            call = self._session.feed(data)
+        except BadCallError as error:
+            self._say(bad(str(error)), "noise")
+            return
+        if call is not None:
+            self._answer(call)
+
+    def eof_received(self) -> bool:
+        if self._session.over:
+            return False
+        try:
+            call = self._session.end()
+        except BadCallError as error:
+            self._say(bad(str(error)), "noise")
+            return True
+        if call is not None:
+            self._answer(call)
+        return True  # the answer may still be on its way
+
+    def _answer(self, call: Call) -> None:
+        try:
+            answer = self._server.calls.answer(call)
+        except Exception:
+            log.exception("failed on a call")
+            answer = bad("a fault of the gateway's own; its log has the trace")
+        self._say(answer, " ".join((call.name, *call.words)))
+
+    def _say(self, answer: bytes, asked: str) -> None:
+        assert self._transport is not None
+        level = logging.DEBUG if asked == "HEALTH" else logging.INFO  # a probe asks it all day
+        log.log(level, "control: %s: %s", asked, answer.decode().rstrip())
+        self._transport.write(answer)
+        self._transport.write_eof()
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_later(LINGER, self.drop)
+
+    def drop(self) -> None:
+        self._server.callers.pop(self, None)
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.callers.pop(self, None)
+        if self._timer is not None:
+            self._timer.cancel()
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -300,6 +300,7 @@
     kind: RequestClass
     arrived: int
     deadline: int
+    most: int  # attempts that it may have, as it was taken
     fallback: ServerId | None = None
     attempts: list[Attempt] = field(default_factory=list)
     answered: bool = False
--- a/whinrouter/net/config.py
+++ b/whinrouter/net/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from hashlib import blake2b
 from pathlib import Path
 from typing import Any
@@ -14,10 +14,15 @@
 from whinrouter.interface import SECOND, Settings
 from whinrouter.net.discovery import read_list
 from whinrouter.net.hosts import HostList
+from whinrouter.operations.retune import findings
 
 Address = tuple[str, int]
 
-_FIXED = {"name": "PROXY_NAME", "listen": "PROXY_LISTEN"}  # for the life of the process
+_FIXED = {
+    "name": "PROXY_NAME",
+    "listen": "PROXY_LISTEN",
+    "control": "PROXY_CONTROL",
+}  # for the life of the process
 
 
 class ConfigError(Exception):
@@ -35,6 +40,9 @@
     connect_time: float  # seconds after which a connection that is not made has failed
     idle_time: float  # seconds after which a host closes an idle connection at the latest
     sockets: int  # descriptors that the process may hold
+    control: Address | None = None  # where operators call
+    listener: int | None = None  # the descriptor of a listening socket that is there already
+    told: Mapping[str, Any] = field(default_factory=dict)  # all of it, as it was read
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -43,12 +51,17 @@
     return _load(environment, {**_FIXED, "discovery": "PROXY_DISCOVERY"})
 
 
-def reload(environment: Mapping[str, str]) -> Config:
-    """What to go on with: the variables are as old as the start, so the file's word on discovery is newer."""
-    return _load(environment, _FIXED)
+def reload(environment: Mapping[str, str], in_force: Config) -> Config:
+    """What to go on with: the variables are as old as the start, so the file's word on discovery is newer.
 
+    ConfigError, with all that is wrong, if it lacks anything that what is in force has.
+    """
+    return _load(environment, _FIXED, in_force)
 
-def _load(environment: Mapping[str, str], overrides: Mapping[str, str]) -> Config:
+
+def _load(
+    environment: Mapping[str, str], overrides: Mapping[str, str], in_force: Config | None = None
+) -> Config:
     path = environment.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG names no file")
@@ -61,13 +74,16 @@
     if not isinstance(told, dict):
         raise ConfigError("PROXY_CONFIG holds no object")
     told |= {key: environment[name] for key, name in overrides.items() if environment.get(name)}
+    wrong = findings(told, in_force.told) if in_force is not None else []
+    if wrong:
+        raise ConfigError("; ".join(wrong))
     try:
-        return _config(told)
+        return _config(told, environment.get("PROXY_SOCKET_FD"))
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise ConfigError(f"the configuration is no good: {type(error).__name__}: {error}") from None
 
 
-def _config(told: Mapping[str, Any]) -> Config:
+def _config(told: Mapping[str, Any], listener: str | None) -> Config:
     setup = told["settings"]
     limits, allowed = told.get("limits") or {}, setup.get("permissions") or {}
     return Config(
@@ -80,6 +96,9 @@
         connect_time=int(allowed.get("dialTimeout") or SECOND // 4) / SECOND,
         idle_time=int(allowed.get("connIdle") or 15 * SECOND) / SECOND,
         sockets=int(limits.get("sockets") or 1024),
+        control=address(told["control"]) if told.get("control") else None,
+        listener=int(listener) if listener else None,
+        told=told,
     )
 
 
--- a/whinrouter/net/connect.py
+++ b/whinrouter/net/connect.py
@@ -42,17 +42,26 @@
         self._protocol = protocol
         self._server: asyncio.Server | None = None
         self._socket: socket.socket | None = None
+        self.shared = False  # other processes accept from the same socket
 
     @property
     def descriptor(self) -> int | None:
         """The listening socket's; None while it is not open."""
         return self._socket.fileno() if self._socket is not None else None
 
-    def bind(self, host: str, port: int) -> None:
+    def bind(self, host: str, port: int, inherited: int | None = None) -> None:
         """Take the address; port 0 leaves it to the system. OSError if it is taken.
 
         A host with a slash is the path of a Unix socket, whose permissions are the process's umask.
+        `inherited` is the descriptor of a socket that listens already, and that whoever started the process
+        holds too.
         """
+        self.shared = inherited is not None
+        if inherited is not None:
+            self._socket = socket.socket(fileno=os.dup(inherited))
+            if not self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                raise OSError(errno.EINVAL, f"descriptor {inherited} does not listen")
+            return
         if "/" in host:
             self._socket = _unix_socket(host)
             return
@@ -75,7 +84,15 @@
         return int(listener.getsockname()[1]) if listener.family != socket.AF_UNIX else 0
 
     async def accept_rest(self) -> None:
-        """Take what waits to be accepted: closing the listener would reset it, with the requests on it."""
+        """Take what waits to be accepted: closing the listener would reset it, with the requests on it.
+
+        What waits at a shared one is the others': only what was accepted has to come up.
+        """
+        if self.shared and self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket)
+            for _ in range(ACCEPT_TURNS):
+                await asyncio.sleep(0)
+            return
         quiet = 0
         try:
             async with asyncio.timeout(ACCEPT_REST):
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -9,6 +9,7 @@
 import re
 from collections import OrderedDict, deque
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from http import HTTPStatus
 from itertools import islice
 from random import Random
@@ -21,6 +22,7 @@
 from whinrouter.net.http import BadMessageError, Message, Reading, RequestReader, write_answer
 from whinrouter.net.routes import Routes
 from whinrouter.net.sockets import age, end, left, unread
+from whinrouter.operations.presence import Presence
 from whinrouter.ownlimit import OwnLimit
 
 log = logging.getLogger(__name__)
@@ -91,19 +93,24 @@
         self._advises = settings.retry_after
         self._random = Random()
         self._classes = {kind.name.encode(): kind for kind in settings.classes}
+        # What classes were before the settings changed, and until when their requests may still come.
+        self._former: dict[bytes, tuple[RequestClass, float]] = {}
         self.limit = limit  # connections at most
         self.connections: set[_Client] = set()
         # Those with no request in work, in the order in which they make room for others.
         self.waiting: OrderedDict[_Client, None] = OrderedDict()
         self.open_ids: set[str] = set()  # of the requests in work
         self.buffered = 0  # bytes of requests that are not in work yet
-        self.stopping = False
+        self.presence = Presence()
         self._loop = asyncio.get_running_loop()
         self.listener = Listener(lambda: _Client(self))
 
-    def listen(self, host: str, port: int) -> Coroutine[Any, Any, int]:
-        """Take connections, once awaited; return the port, which 0 leaves to the system."""
-        self.listener.bind(host, port)
+    def listen(self, host: str, port: int, inherited: int | None = None) -> Coroutine[Any, Any, int]:
+        """Take connections, once awaited; return the port, which 0 leaves to the system.
+
+        `inherited`: the descriptor of a socket that listens already.
+        """
+        self.listener.bind(host, port, inherited)
         if self.door is not None and self.listener.descriptor is not None:
             self.door.listeners.add(self.listener.descriptor)
         if not self._sweeping:  # it may listen anew
@@ -118,13 +125,27 @@
 
     @property
     def ready(self) -> bool:
-        return self.gateway.has_list and not self.stopping
-
-    def close(self) -> None:
-        """Take no new connection, and close those that are between requests."""
+        return self.gateway.has_list and self.presence.up
+
+    def retune(self, settings: Settings, limit: int) -> None:
+        """Go by other settings. What clients have sent by the old ones still comes in for a while."""
+        fresh = {kind.name.encode(): kind for kind in settings.classes}
+        until = self._loop.time() + max(kind.deadline for kind in self._classes.values()) / SECOND
+        self._former = {
+            name: (kind, until) for name, kind in self._classes.items() if fresh.get(name) != kind
+        }
+        self._classes, self._advises, self.limit = fresh, settings.retry_after, limit
+        self.own.retune(kind.aim / SECOND for kind in settings.classes)
+
+    def close_listener(self) -> None:
+        """Take no new connection."""
         if self.listener.descriptor is not None and self.door is not None:
             self.door.listeners.discard(self.listener.descriptor)
         self.listener.close()
+
+    def close(self) -> None:
+        """Take no new connection, and close those that are between requests."""
+        self.close_listener()
         for client in list(self.connections):
             client.close_if_idle()
 
@@ -158,6 +179,10 @@
         for client in [client for client in self.waiting if client.due <= now]:
             if client.dispensable or client.due + UNREAD_GRACE <= now:
                 client.run_out()
+        rest = self.presence.rest(now)
+        if rest is not None:
+            for client in [client for client in self.waiting if client.since <= now - rest]:
+                client.close_if_idle()
         self._loop.call_later(SWEEP_EVERY, self._sweep)
 
     def turned_away(self) -> bytes:
@@ -194,12 +219,25 @@
             return _class_by_path(self._routes, message, named)
         name = message.target.partition(b"?")[0].strip(b"/").partition(b"/")[0]
         kind = self._classes.get(name)
+        if (kind is None or not _goes_with(message, kind)) and name in self._former:
+            kind = self._former_class(name, message)
         if kind is None or (named is not None and named != name):
             raise BadMessageError(HTTPStatus.BAD_REQUEST, "the class is not known")
-        if message.method != (b"GET" if kind.effect is Effect.IDEMPOTENT else b"POST"):
+        if not _goes_with(message, kind):
             raise BadMessageError(HTTPStatus.METHOD_NOT_ALLOWED, "the class goes with another method")
         return kind
 
+    def _former_class(self, name: bytes, message: Message) -> RequestClass | None:
+        """What a class was, for a request sent before it changed; the module takes it for an unknown one."""
+        kind, until = self._former[name]
+        if until <= self._loop.time() or not _goes_with(message, kind):
+            return self._classes.get(name)
+        return replace(kind, name="")
+
+
+def _goes_with(message: Message, kind: RequestClass) -> bool:
+    return message.method == (b"GET" if kind.effect is Effect.IDEMPOTENT else b"POST")
+
 
 def _class_by_path(routes: Routes, message: Message, named: bytes | None) -> RequestClass:
     route = routes.find(message.target)
@@ -252,7 +290,8 @@
         self._descriptor = -1
         self._begun = 1  # the message whose time to come runs: the first, from the connection's start
         self._counted = 0  # its part of what all have buffered
-        self.due = 0.0  # loop time at which it has waited long enough
+        self.since = 0.0  # loop time from which it waits
+        self.due = 0.0  # and at which it has waited long enough
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -287,7 +326,8 @@
         return self._deaf or self._transport is None or not unread(self._transport)
 
     def _wait(self, seconds: float) -> None:
-        self.due = self._loop.time() + seconds
+        self.since = self._loop.time()
+        self.due = self.since + seconds
         self._front.waiting[self] = None
         self._front.waiting.move_to_end(self)
 
@@ -427,7 +467,7 @@
             return
         self._busy, self._request = False, None
         self._free_id()
-        self._close = self._close or self._front.stopping
+        self._close = self._close or not self._front.presence.up
         self._close = self._close and not self._crowded
         self._write(answer)
         if self._crowded:
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -26,6 +26,7 @@
     ServerId,
     ServerList,
     SetTimer,
+    Settings,
     TimerFired,
     Update,
 )
@@ -94,7 +95,7 @@
         self._attempt_time = attempt_time
         self._balancer = balancer
         self._upstream = upstream
-        self._clock = Clock()
+        self.clock = Clock()
         self._loop = asyncio.get_running_loop()
         self._timers = Wheel(self._loop)
         self._held: dict[RequestId, _Held] = {}
@@ -108,6 +109,10 @@
         """How many requests are owed an answer."""
         return sum(held.reply is not None for held in self._held.values())
 
+    def retune(self, settings: Settings) -> None:
+        """The module goes on by other settings."""
+        self._balancer.retune(settings)
+
     def list_hosts(self, told: HostList, stale: bool = False) -> None:
         whole = told.complete or stale
         self._upstream.update(told.members, whole)
@@ -127,7 +132,7 @@
             reply(Answer(503))
             return request
         timeout = max(1, timeout - lay - MARGIN)
-        now = self._clock.now()
+        now = self.clock.now()
         held = _Held(request, message, reply, now + timeout)
         self._held[request] = held
         held.timer = self._timers.call_later(timeout / SECOND, self._expire, held)
@@ -152,10 +157,10 @@
             return
         self._working = True
         try:
-            self._handle(event, request, now or self._clock.now())
+            self._handle(event, request, now or self.clock.now())
             while self._events:
                 event, request = self._events.popleft()
-                self._handle(event, request, self._clock.now())
+                self._handle(event, request, self.clock.now())
         finally:
             self._working = False
 
@@ -230,7 +235,7 @@
         held: _Held = attempt.owner
         held.sent[attempt.number] = None
         # Before the reply: a process is often put aside when it has written, and that time is not the host's.
-        now, latency = self._clock.now(), round((self._loop.time() - attempt.started) * SECOND)
+        now, latency = self.clock.now(), round((self._loop.time() - attempt.started) * SECOND)
         if answer is not None and outcome is Outcome.OK and held.reply is not None:
             reply, held.reply = held.reply, None
             reply(Answer(200, answer.headers, answer.body))
@@ -271,7 +276,7 @@
 
     def _expire(self, held: _Held) -> None:
         """The client's time is up: what is out has timed out, and the module answers."""
-        early = held.deadline - self._clock.now()
+        early = held.deadline - self.clock.now()
         if early > 0:  # the loop's clock is coarser; the module must see that the time is up
             held.timer = self._timers.call_later(early / SECOND, self._expire, held)
             return
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -156,6 +156,12 @@
         self._sweep_every = min(SWEEP_EVERY, self.idle_time / 4)
         self._loop.call_later(self._sweep_every, self._sweep)
 
+    def retune(self, connect_time: float, idle_time: float, limit: int) -> None:
+        """Go by other figures from now on."""
+        self._connect_time, self._limit = connect_time, limit
+        self.idle_time = max(idle_time / 2, idle_time - IDLE_MARGIN)
+        self._sweep_every = min(SWEEP_EVERY, self.idle_time / 4)
+
     @property
     def open(self) -> int:
         """The descriptors in use, at most."""
--- a/whinrouter/operator/checks.py
+++ b/whinrouter/operator/checks.py
@@ -16,7 +16,7 @@
 
 EPHEMERAL = (32768, 60999)  # from which the system gives ports to clients (ip_local_port_range's default)
 PRIVILEGED = 1024
-RESERVED_SOCKETS = 32  # descriptors for all that is no client's and no host's connection
+RESERVED_SOCKETS = 40  # descriptors for all that is no client's and no host's connection
 # Bytes: a process that has started, a client's connection, and a request in work with its connection to a
 # host, as `benchmarks.memory` measured them, rounded up.
 PROCESS, PER_CLIENT, PER_CONNECTION = 32 * 1024**2, 5 * 1024, 13 * 1024
--- a/whinrouter/ownlimit.py
+++ b/whinrouter/ownlimit.py
@@ -39,13 +39,17 @@
 
     def __init__(self, aims: Iterable[float]) -> None:
         """`aims`: the times within which the classes want their answers, in seconds."""
-        self.target = max(LEAST_TARGET, TARGET_PART * min(aims))
+        self.retune(aims)
         self.reached = False  # whether it is at its limit
         self._least: float | None = None  # wait in this interval
         self._turned = False  # whether any was turned away in it
         self._ends = 0.0  # of this interval
         self._accepted = 0.0  # when connections were last accepted
 
+    def retune(self, aims: Iterable[float]) -> None:
+        """The classes want their answers within other times."""
+        self.target = max(LEAST_TARGET, TARGET_PART * min(aims))
+
     @property
     def patience(self) -> float:
         """Seconds that a request may have waited unread."""
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -9,9 +9,12 @@
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
 from whinrouter.balance import Balancer
+from whinrouter.control.calls import Calls
+from whinrouter.control.shell import ControlServer
 from whinrouter.interface import SECOND, Settings
 from whinrouter.net.application import Application
 from whinrouter.net.config import ConfigError
@@ -21,11 +24,12 @@
 from whinrouter.net.hosts import HostList
 from whinrouter.net.routes import Routes
 from whinrouter.net.upstream import Upstream
+from whinrouter.operations.desk import Desk
 from whinrouter.ownlimit import OwnLimit
 
 log = logging.getLogger("whinrouter")
 
-RESERVED = 32  # descriptors for all that is no client's and no host's connection, or not counted yet
+RESERVED = 40  # descriptors for all that is no client's and no host's connection, or not counted yet
 STILL_ACCEPTING = 0.5  # seconds for which connections go on coming after SIGTERM
 LAG_STEP, LAG_SHOWN = 0.1, 0.05
 # New objects between two looks of the collector. What a request makes is freed as it ends, and cycles are
@@ -50,6 +54,20 @@
     ends_with_it: bool  # else it takes no work until the application is back
 
 
+@dataclass(frozen=True, slots=True)
+class Tuning:
+    """What may change while it serves."""
+
+    settings: Settings
+    connect_time: float  # seconds
+    idle_time: float  # seconds
+    clients: int  # connections of clients at most
+    connections: int  # connections to hosts at most
+
+
+Retune = Callable[[Tuning], None]
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """All that a gateway is started with."""
@@ -60,7 +78,7 @@
     seed: int
     known: HostList
     hosts: Callable[[Callable[[HostList], None]], Hosts]
-    reload: Callable[[Hosts], None]  # on SIGHUP
+    reload: Callable[[Hosts, Retune], None]  # on SIGHUP
     connect_time: float  # seconds
     idle_time: float  # seconds
     clients: int  # connections of clients at most
@@ -70,6 +88,8 @@
     attempt_time: int = 0  # microseconds that an attempt may take; 0: what is left
     buffered: int | None = None  # bytes of requests that wait or have not come whole; None: the usual
     beside: Beside | None = None
+    control: tuple[str, int] | None = None  # where operators call
+    listener: int | None = None  # the descriptor of a socket that listens for clients already
 
 
 def serve(plan: Plan) -> None:
@@ -85,14 +105,16 @@
 async def _serve(plan: Plan, door: Door) -> None:
     upstream = Upstream(plan.connect_time, plan.idle_time, plan.connections)
     gateway = Gateway(Balancer(plan.settings, plan.seed), upstream, plan.attempt_time)
-    gateway.list_hosts(plan.known, stale=plan.known_is_old)
     frontend = Frontend(gateway, plan.settings, plan.clients, door, plan.routes, plan.buffered)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    hosts = plan.hosts(gateway.list_hosts)
-    loop.add_signal_handler(signal.SIGHUP, plan.reload, hosts)
+    desk = Desk(gateway.clock.now, loop.time, gateway.list_hosts, frontend.presence)
+    desk.listed(plan.known, stale=plan.known_is_old)
+    hosts = plan.hosts(desk.listed)
+    loop.add_signal_handler(signal.SIGHUP, plan.reload, hosts, partial(_retune, gateway, frontend, upstream))
+    control = await _control(plan, desk, frontend)
     application = _application(plan, frontend, stop)
     if application is None:
         port = await _listen(plan, frontend)
@@ -107,21 +129,51 @@
         application.start()
     await stop.wait()
     log.info("stopping: %d requests held", gateway.holds)
-    frontend.stopping = True
+    frontend.presence.stop(loop.time())
     if application is not None:
         application.stop()
-    await asyncio.sleep(STILL_ACCEPTING)
+    if not frontend.listener.shared:  # else it is another process that connections go on coming to
+        await asyncio.sleep(STILL_ACCEPTING)
     await frontend.listener.accept_rest()
-    frontend.close()
+    if frontend.listener.shared:  # those that are idle end with an answer, or as `Presence` says
+        frontend.close_listener()
+    else:
+        frontend.close()
     await _until_answered(frontend, max(kind.deadline for kind in plan.settings.classes) / SECOND)
     hosts.stop()
     lag.cancel()
+    if control is not None:
+        control.close()
+
+
+def _retune(gateway: Gateway, frontend: Frontend, upstream: Upstream, to: Tuning) -> None:
+    """All of it or, as it has been checked, nothing: no request comes between."""
+    upstream.retune(to.connect_time, to.idle_time, to.connections)
+    gateway.retune(to.settings)
+    frontend.retune(to.settings, to.clients)
+    log.info("settings: %s", ", ".join(kind.name for kind in to.settings.classes))
+
+
+async def _control(plan: Plan, desk: Desk, frontend: Frontend) -> ControlServer | None:
+    """The operators' address, where there is one."""
+    if plan.control is None:
+        return None
+    calls = Calls()
+    desk.register(calls, lambda: frontend.gateway.has_list and frontend.listener.descriptor is not None)
+    control = ControlServer(calls)
+    host, port = plan.control
+    try:
+        port = await control.listen(host, port)
+    except OSError as error:
+        raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror}") from None
+    log.info("%s takes calls on %s:%d", plan.name, host, port)
+    return control
 
 
 async def _listen(plan: Plan, frontend: Frontend) -> int:
     host, port = plan.listen
     try:
-        return await frontend.listen(host, port)
+        return await frontend.listen(host, port, plan.listener)
     except OSError as error:
         raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror}") from None
 
--- a/whinrouter/shedding.py
+++ b/whinrouter/shedding.py
@@ -31,6 +31,17 @@
         self.share = 1.0  # of the work asked for that is let in
         self._last_sign = 0  # when an answer last moved it
 
+    def retuned(self, settings: Settings) -> Shedding:
+        """The state of one with other settings: the share stays, and so does what known classes asked for."""
+        fresh = Shedding(settings)
+        fresh.share, fresh._last_sign = self.share, self._last_sign
+        for part in (part for part in self._seen if part[0] in fresh._announced):
+            fresh._seen[part], fresh._asked[part] = self._seen[part], self._asked[part]
+            fresh._worths[part[0]] = self._worths[part[0]]
+        for tenant in fresh._credit.keys() & self._credit.keys():
+            fresh._credit[tenant] = self._credit[tenant]
+        return fresh
+
     def turns_away(
         self, event: Request, kind: RequestClass, cost: float, now: int, blind: bool, random: Random
     ) -> bool:
--- a/whinrouter/sidecar.py
+++ b/whinrouter/sidecar.py
@@ -21,7 +21,7 @@
 from whinrouter.operator.explain import changes
 from whinrouter.operator.loading import Loaded, load
 from whinrouter.operator.values import Address
-from whinrouter.program import Beside, Hosts, Plan, log_to_stderr, serve
+from whinrouter.program import Beside, Hosts, Plan, Retune, log_to_stderr, serve
 
 log = logging.getLogger("whinrouter")
 
@@ -172,7 +172,7 @@
     def __init__(self, loaded: Loaded) -> None:
         self._loaded = loaded
 
-    def __call__(self, hosts: Hosts) -> None:
+    def __call__(self, hosts: Hosts, retune: Retune) -> None:
         fresh = load(Path(self._loaded.path), Path(self._loaded.root))
         findings = check(fresh)
         if findings:
