Take over from a running process: lists, hosts out, and what was learnt, over one line

Nothing that a process knew reached the one that took its place; Succession and the line in whinrouter/handover/ now carry it.

The new process asks over a Unix socket in TMPDIR and goes on from the answer: the list with its revision, hosts out and put back, a drain, limits, paces, breakers, marks. Then it says that it serves; the old one accepts no more, and if the new one dies it accepts again. Calls and hosts that stop reach both while both live. The descriptors and the limits on hosts are divided meanwhile. Lines of calls are never left out of the log.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -11,10 +11,12 @@
 
 @asynccontextmanager
 async def started(
-    *command: str, environment: Mapping[str, str] | None = None
+    *command: str, environment: Mapping[str, str] | None = None, pass_fds: tuple[int, ...] = ()
 ) -> AsyncIterator[asyncio.subprocess.Process]:
     """A program whose log is read by the test; killed at the end, if it still runs."""
-    process = await asyncio.create_subprocess_exec(*command, env=environment, stderr=asyncio.subprocess.PIPE)
+    process = await asyncio.create_subprocess_exec(
+        *command, env=environment, stderr=asyncio.subprocess.PIPE, pass_fds=pass_fds
+    )
     try:
         yield process
     finally:
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -14,10 +14,11 @@
 from whinrouter.breaker import Breaker
 from whinrouter.host import FIRST_LIMIT, LAST_LIMIT, LEAST_FIRST_LIMIT, LEAST_LAST_LIMIT, Host
 from whinrouter.interface import (
-    SECOND, Action, Attempt, AttemptEnded, Cancel, Effect, Event, Fail, Outcome, Pending, Refuse, Request,
-    RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId, ServerList, SetTimer, Settings,
-    State, StreamStarted, Subscribe, TimerFired, Update,
+    SECOND, Action, Attempt, AttemptEnded, Cancel, Effect, Event, Fail, Outcome, Pending,
+    Refuse, Request, RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId, ServerList,
+    SetTimer, Settings, State, StreamStarted, Subscribe, TimerFired, Update,
 )  # fmt: skip
+from whinrouter.learnt import Learnt
 from whinrouter.shedding import Shedding
 
 OPEN_SHARE = 0.5  # no closed breaker counts a failure while this share of them is open
@@ -110,6 +111,34 @@
         self._spare = min(self._spare, self._most_spare)
         self._arrange([])
 
+    def learnt(self) -> Learnt:
+        """What another balancer in this one's place goes on from."""
+        hosts = tuple(host.learnt() for host in self._hosts.values())
+        usual, typical, marks = dict(self._usual), dict(self._typical), dict(self._marks)
+        patience, served, (share, signed) = dict(self._patience), dict(self._served), self._shed.state()
+        return Learnt(hosts, usual, typical, marks, patience, served, self._counted, share, signed)
+
+    def resume(self, learnt: Learnt, part: float) -> None:
+        """Go on from what another learnt of the same servers, for a part of its requests."""
+        for known in learnt.hosts:
+            host = self._hosts.get(known.server)
+            if host is not None and host.info.started == known.started:
+                host.resume(known, part)
+        told = (learnt.usual, self._usual), (learnt.typical, self._typical), (learnt.marks, self._marks)
+        for theirs, ours in told:
+            ours.update({name: value for name, value in theirs.items() if name in self._classes})
+        self._patience.update(learnt.patience)
+        self._served = {kind: work * part for kind, work in learnt.served.items()}
+        self._counted = learnt.counted
+        self._shed.resume(learnt.share, learnt.signed)
+        self._allot([])
+
+    def scale(self, by: float) -> None:
+        """It has so many times the requests that it had: so has each server's limit."""
+        for host in self._hosts.values():
+            host.limit = max(host.least, host.limit * by)
+        self._allot([])
+
     def _on_servers(self, event: ServerList, now: int) -> list[Action]:
         asks = self._settings.must_subscribe
         if event.update is Update.ERROR:  # the list in hand stays in force; ask again, not all at once
--- a/whinrouter/breaker.py
+++ b/whinrouter/breaker.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from whinrouter.interface import SECOND
+from whinrouter.learnt import BreakerState
 
 WINDOW = 60 * SECOND  # failures older than this are forgotten
 THRESHOLD = 3  # failures that open a breaker
@@ -30,6 +31,14 @@
     def closed(self) -> bool:
         return self._reopens is None
 
+    def state(self) -> BreakerState:
+        """What another goes on from; a trial that is out is not its own."""
+        return BreakerState(tuple(self._failures), self._reopens, self._cooldown)
+
+    def resume(self, state: BreakerState) -> None:
+        self._failures = deque(state.failures)
+        self._reopens, self._cooldown = state.reopens, state.cooldown
+
     def admits(self, now: int) -> bool:
         return self._reopens is None or (now >= self._reopens and not self._trial)
 
--- a/whinrouter/control/shell.py
+++ b/whinrouter/control/shell.py
@@ -17,6 +17,7 @@
 from whinrouter.control.session import BadCallError, Call, Session, bad
 
 log = logging.getLogger(__name__)
+audit = logging.getLogger("whinrouter.audit")  # none of its lines is left out
 
 MOST_OPEN = 8  # callers at once; their descriptors are reserved (RESERVED in program.py)
 # Seconds that a caller may take for its line. People type, and some hold a connection for 4 s before they
@@ -75,7 +76,7 @@
         try:
             call = self._session.feed(data)
         except BadCallError as error:
-            self._say(bad(str(error)), "noise")
+            self._noise(error)
             return
         if call is not None:
             self._answer(call)
@@ -86,24 +87,28 @@
         try:
             call = self._session.end()
         except BadCallError as error:
-            self._say(bad(str(error)), "noise")
+            self._noise(error)
             return True
         if call is not None:
             self._answer(call)
         return True  # the answer may still be on its way
 
+    def _noise(self, error: BadCallError) -> None:
+        log.info("control: noise: %s", error)
+        self._say(bad(str(error)))
+
     def _answer(self, call: Call) -> None:
         try:
             answer = self._server.calls.answer(call)
         except Exception:
             log.exception("failed on a call")
             answer = bad("a fault of the gateway's own; its log has the trace")
-        self._say(answer, " ".join((call.name, *call.words)))
+        if call.name != "HEALTH":  # a probe asks it all day
+            audit.info("control: %s: %s", " ".join((call.name, *call.words)), answer.decode().rstrip())
+        self._say(answer)
 
-    def _say(self, answer: bytes, asked: str) -> None:
+    def _say(self, answer: bytes) -> None:
         assert self._transport is not None
-        level = logging.DEBUG if asked == "HEALTH" else logging.INFO  # a probe asks it all day
-        log.log(level, "control: %s: %s", asked, answer.decode().rstrip())
         self._transport.write(answer)
         self._transport.write_eof()
         if self._timer is not None:
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -7,6 +7,7 @@
 
 from whinrouter.breaker import Breaker, ClassBreaker
 from whinrouter.interface import SECOND, Attempt, Outcome, RequestClass, Server
+from whinrouter.learnt import HostLearnt
 
 # Attempts that all balancers together may have in flight at a server of mean size that they have just met,
 # and each of them at least. All start together: with 8 for each of three, or 3 for each of eight, the first
@@ -37,6 +38,21 @@
     size: float = 1.0  # how much it can do, against the others
     classes: dict[str, ClassBreaker] = field(default_factory=dict)  # an entry for each class announced
 
+    def learnt(self) -> HostLearnt:
+        classes = {name: breaker.state() for name, breaker in self.classes.items()}
+        known, breaker = self.info, self.breaker.state()
+        return HostLearnt(
+            known.id, known.started, self.limit, self.pace, self.paced, self.allowance, breaker, classes
+        )
+
+    def resume(self, learnt: HostLearnt, part: float) -> None:
+        """Go on from what another learnt, with a part of its limit and of a cold server's share."""
+        self.limit = max(self.least, learnt.limit * part)
+        self.pace, self.paced, self.allowance = learnt.pace, learnt.paced, learnt.allowance * part
+        self.breaker.resume(learnt.breaker)
+        for name, state in learnt.classes.items():
+            self.classes.setdefault(name, ClassBreaker(self.random)).resume(state)
+
     def busy(self, now: int) -> float:
         """In flight by size and pace; a pace not seen again is forgotten, or it would last for ever."""
         pace = 1 + (self.pace - 1) * max(0.0, 1 - (now - self.paced) / RECALL)
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -122,6 +122,16 @@
     def start(self) -> None:
         self._task = asyncio.get_running_loop().create_task(self._run())
 
+    @property
+    def source(self) -> str:
+        """Whose revision the lists have."""
+        return f"{self._address[0]}:{self._address[1]}"
+
+    def resume(self, source: str, revision: int) -> None:
+        """Go on from a list that came otherwise, if it is the same service's."""
+        if source == self.source:
+            self._revision = revision
+
     def stop(self) -> None:
         if self._task is not None:
             self._task.cancel()
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -30,6 +30,7 @@
     TimerFired,
     Update,
 )
+from whinrouter.learnt import Learnt
 from whinrouter.net.attempt import Attempt, Sender
 from whinrouter.net.hosts import HostList
 from whinrouter.net.http import Headers, Message
@@ -113,6 +114,18 @@
         """The module goes on by other settings."""
         self._balancer.retune(settings)
 
+    def learnt(self) -> Learnt:
+        """What the module of a process in this one's place goes on from."""
+        return self._balancer.learnt()
+
+    def resume(self, learnt: Learnt, part: float) -> None:
+        """Go on from what the module of another process learnt, for a part of its requests."""
+        self._balancer.resume(learnt, part)
+
+    def scale(self, by: float) -> None:
+        """The module has so many times the requests that it had."""
+        self._balancer.scale(by)
+
     def list_hosts(self, told: HostList, stale: bool = False) -> None:
         whole = told.complete or stale
         self._upstream.update(told.members, whole)
--- a/whinrouter/net/hostfile.py
+++ b/whinrouter/net/hostfile.py
@@ -51,6 +51,13 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    @property
+    def source(self) -> str:
+        return ""
+
+    def resume(self, source: str, revision: int) -> None:
+        """Its lists are whole ones: there is nothing to go on from."""
+
     def move(self, path: str) -> None:
         """Follow another file, or this one anew, whether or not it seems to have changed."""
         self._path, self._seen = path, None
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -147,7 +147,7 @@
     def __init__(self, connect_time: float, idle_time: float, limit: int) -> None:
         self._connect_time = connect_time
         self.idle_time = max(idle_time / 2, idle_time - IDLE_MARGIN)
-        self._limit = limit  # connections at most
+        self.limit = limit  # connections at most
         self._connecting = 0
         self.connections = 0
         self._hosts: dict[ServerId, _Host] = {}
@@ -158,7 +158,7 @@
 
     def retune(self, connect_time: float, idle_time: float, limit: int) -> None:
         """Go by other figures from now on."""
-        self._connect_time, self._limit = connect_time, limit
+        self._connect_time, self.limit = connect_time, limit
         self.idle_time = max(idle_time / 2, idle_time - IDLE_MARGIN)
         self._sweep_every = min(SWEEP_EVERY, self.idle_time / 4)
 
@@ -223,7 +223,7 @@
                 connection.carry(attempt, now)
                 return attempt
             connection.drop()
-        if self.open >= self._limit and not self._make_room():
+        if self.open >= self.limit and not self._make_room():
             log.warning("no descriptor is left for another connection")
             return None
         self._connecting += 1
--- a/whinrouter/operations/desk.py
+++ b/whinrouter/operations/desk.py
@@ -28,7 +28,7 @@
     presence: Presence
     maintenance: Maintenance = field(default_factory=Maintenance)
     share: Callable[[str, str], None] = lambda name, word: None  # what was called, to the other process
-    left: Callable[[], None] = lambda: None  # the gateway is to be emptied, from now on
+    heard: Callable[[HostList], None] = lambda told: None  # what was listed, likewise
     revision: int = 0
     members: dict[ServerId, Member] = field(default_factory=dict)  # of those that are listed
 
@@ -50,7 +50,6 @@
             said = self._move(name, word)
         elif name == "LEAVE":
             self.presence.leave(self.time())
-            self.left()
             said = self.presence.stage.value
         elif self.presence.join():
             said = self.presence.stage.value
@@ -73,10 +72,20 @@
             self.tell(HostList(self.revision, False, members), False)
         return f"{host} {'out' if name == 'OFFLINE' else 'in'}"
 
+    def others(self, told: HostList) -> None:
+        """The other process was told of hosts that stop; of what is newer here it knows nothing."""
+        if told.revision > self.revision:
+            known = tuple(member for member in told.members if member.server.id in self.members)
+            self._follow(HostList(self.revision, False, known), Update.CHANGES, False)
+
     def listed(self, told: HostList, stale: bool = False) -> None:
         """A list has come: whole, or changes to it; `stale`: the whole one of an earlier process."""
         update = Update.STALE if stale else Update.FULL if told.complete else Update.CHANGES
         self.revision = told.revision
+        self.heard(told)
+        self._follow(told, update, stale)
+
+    def _follow(self, told: HostList, update: Update, stale: bool) -> None:
         shown = self.maintenance.follow(update, tuple(member.server for member in told.members))
         if update is not Update.CHANGES:
             self.members = {}
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -5,12 +5,15 @@
 import asyncio
 import gc
 import logging
+import os
 import signal
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
-from typing import Protocol
+from hashlib import blake2b
+from pathlib import Path
+from typing import TYPE_CHECKING, Protocol
 
 from whinrouter.balance import Balancer
 from whinrouter.control.calls import Calls
@@ -27,6 +30,9 @@
 from whinrouter.operations.desk import Desk
 from whinrouter.ownlimit import OwnLimit
 
+if TYPE_CHECKING:
+    from whinrouter.handover.succession import Succession
+
 log = logging.getLogger("whinrouter")
 
 RESERVED = 40  # descriptors for all that is no client's and no host's connection, or not counted yet
@@ -41,6 +47,11 @@
 class Hosts(Protocol):
     """Where lists of hosts come from."""
 
+    @property
+    def source(self) -> str: ...
+
+    def resume(self, source: str, revision: int) -> None: ...
+
     def start(self) -> None: ...
 
     def stop(self) -> None: ...
@@ -111,14 +122,22 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     desk = Desk(gateway.clock.now, loop.time, gateway.list_hosts, frontend.presence)
-    desk.listed(plan.known, stale=plan.known_is_old)
     hosts = plan.hosts(desk.listed)
-    loop.add_signal_handler(signal.SIGHUP, plan.reload, hosts, partial(_retune, gateway, frontend, upstream))
-    control = await _control(plan, desk, frontend)
+    succession = _succession(plan, gateway, frontend, upstream, desk, hosts)
+    told = await succession.take() if succession is not None else None
+    if told is None:
+        desk.listed(plan.known, stale=plan.known_is_old)
+    else:
+        hosts.resume(told.source, told.revision)
+    retune = partial(_retune, gateway, frontend, upstream, succession)
+    loop.add_signal_handler(signal.SIGHUP, plan.reload, hosts, retune)
+    control = await _control(plan, desk, lambda: _serves(frontend, succession))
     application = _application(plan, frontend, stop)
     if application is None:
         port = await _listen(plan, frontend)
         log.info("%s listens on %s:%d", plan.name, plan.listen[0], port)
+    if succession is not None:
+        await succession.serve()
     hosts.start()
     lag = loop.create_task(_watch_lag())
     # What exists now stays: the collector need not look at it again, which would hold up the loop.
@@ -132,10 +151,11 @@
     frontend.presence.stop(loop.time())
     if application is not None:
         application.stop()
-    if not frontend.listener.shared:  # else it is another process that connections go on coming to
+    replaced = succession is not None and succession.replaced
+    if not replaced:  # else it is another process that connections go on coming to
         await asyncio.sleep(STILL_ACCEPTING)
     await frontend.listener.accept_rest()
-    if frontend.listener.shared:  # those that are idle end with an answer, or as `Presence` says
+    if replaced:  # those that are idle end with an answer, or as `Presence` says
         frontend.close_listener()
     else:
         frontend.close()
@@ -144,22 +164,63 @@
     lag.cancel()
     if control is not None:
         control.close()
+    if succession is not None:
+        succession.close()
+
+
+def _succession(
+    plan: Plan, gateway: Gateway, frontend: Frontend, upstream: Upstream, desk: Desk, hosts: Hosts
+) -> Succession | None:
+    """Where another process may listen at the same socket, what is told between the two."""
+    folder = os.environ.get("TMPDIR")
+    if plan.listener is None or not folder:
+        return None
+    from whinrouter.handover.succession import Succession  # noqa: PLC0415 - only where it is on
+    from whinrouter.handover.words import Hello  # noqa: PLC0415
+
+    hello = Hello(plan.name, "{}:{}".format(*plan.listen))
+    path = Path(folder) / f"copperlead-{blake2b(repr(hello).encode(), digest_size=8).hexdigest()}"
+    succession = Succession(
+        gateway,
+        frontend,
+        upstream,
+        desk,
+        path,
+        hello,
+        plan.clients + plan.connections,
+        lambda: _listen(plan, frontend),
+        lambda: hosts.source,
+    )
+    desk.share, desk.heard = succession.share, succession.stopped
+    return succession
 
 
-def _retune(gateway: Gateway, frontend: Frontend, upstream: Upstream, to: Tuning) -> None:
+def _retune(
+    gateway: Gateway, frontend: Frontend, upstream: Upstream, succession: Succession | None, to: Tuning
+) -> None:
     """All of it or, as it has been checked, nothing: no request comes between."""
     upstream.retune(to.connect_time, to.idle_time, to.connections)
     gateway.retune(to.settings)
     frontend.retune(to.settings, to.clients)
+    if succession is not None:
+        succession.retune(to.clients + to.connections)
     log.info("settings: %s", ", ".join(kind.name for kind in to.settings.classes))
 
 
-async def _control(plan: Plan, desk: Desk, frontend: Frontend) -> ControlServer | None:
+def _serves(frontend: Frontend, succession: Succession | None) -> bool:
+    """Whether clients get answers here, or at the process that has taken over."""
+    if succession is not None and not succession.serving:
+        return False
+    listens = frontend.listener.descriptor is not None or (succession is not None and succession.replaced)
+    return frontend.gateway.has_list and listens
+
+
+async def _control(plan: Plan, desk: Desk, ready: Callable[[], bool]) -> ControlServer | None:
     """The operators' address, where there is one."""
     if plan.control is None:
         return None
     calls = Calls()
-    desk.register(calls, lambda: frontend.gateway.has_list and frontend.listener.descriptor is not None)
+    desk.register(calls, ready)
     control = ControlServer(calls)
     host, port = plan.control
     try:
@@ -216,6 +277,8 @@
         self._left_out: dict[str, int] = {}
 
     def filter(self, record: logging.LogRecord) -> bool:
+        if record.name == "whinrouter.audit":  # who did what, without a gap
+            return True
         kind = str(record.msg)
         if record.created < self._said.get(kind, 0.0) + SELDOM:
             self._left_out[kind] = self._left_out.get(kind, 0) + 1
--- a/whinrouter/shedding.py
+++ b/whinrouter/shedding.py
@@ -42,6 +42,13 @@
             fresh._credit[tenant] = self._credit[tenant]
         return fresh
 
+    def state(self) -> tuple[float, int]:
+        """The share that is let in, and when an answer last moved it."""
+        return self.share, self._last_sign
+
+    def resume(self, share: float, signed: int) -> None:
+        self.share, self._last_sign = share, signed
+
     def turns_away(
         self, event: Request, kind: RequestClass, cost: float, now: int, blind: bool, random: Random
     ) -> bool:
--- a/whinrouter/sidecar.py
+++ b/whinrouter/sidecar.py
@@ -161,6 +161,13 @@
     def stop(self) -> None:
         pass
 
+    @property
+    def source(self) -> str:
+        return ""
+
+    def resume(self, source: str, revision: int) -> None:
+        """Its lists are whole ones: there is nothing to go on from."""
+
     def change(self, addresses: list[Address]) -> None:
         self._revision += 1
         self._take(listed(map(_pair, addresses), self._revision))
