Pass bodies over 64 KiB on as they come, both ways, under back-pressure

Ruled out: descriptors (140 of 1,024), memory (16 of 80 MB), CPU.

A message is given out with the start of its body and a Flow for the rest (whinrouter/streaming/, a machine without I/O), which couples the two connections and holds 64 KiB and a read at most. The module is told that such a request is sent once at a time and when a part of it is spent; StreamStarted gives it the time to the first byte. A request's time begins with its body's end; a body's time is what its bytes earn at 32 kB/s. An answer that breaks ends in a reset.

--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -41,7 +41,7 @@
     Settings,
     Update,
 )
-from whinrouter.net.attempt import Attempt, Ended
+from whinrouter.net.attempt import Attempt, Began, Ended
 from whinrouter.net.frontend import Frontend
 from whinrouter.net.gateway import Answer, Gateway
 from whinrouter.net.hosts import HostList, Member
@@ -112,8 +112,9 @@
         ended: Ended,
         owner: Any = None,
         number: int = 0,
+        began: Began | None = None,
     ) -> Attempt | None:
-        attempt = Attempt(self._targets[server], message, expires, ended, owner, number, 0.0)
+        attempt = Attempt(self._targets[server], message, expires, ended, owner, number, 0.0, began)
         self.waiting.append(attempt)
         return attempt
 
--- a/tests/control/test_calls.py
+++ b/tests/control/test_calls.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import signal
+import sys
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -115,6 +116,30 @@
             client.close()
 
 
+@scenario
+async def test_the_command_line_calls_and_says_by_its_exit_code(tmp_path: Path) -> None:
+    async with (
+        peers(says(), _watch) as (host, service),
+        operated(tmp_path, told(service.port, host.entry())) as (_, _, control),
+    ):
+        for words, code, said in (
+            (("offline", "s-0"), 0, b"s-0 out"),
+            (("--json", "HEALTH"), 0, b'"done": true'),
+            (("OFFLINE", "s-9"), 1, b"nobody has the id s-9"),
+            (("noise",), 1, b"no such call"),
+        ):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *("-m", "whinrouter.operator.cli", "ctl", f"127.0.0.1:{control}", *words),
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.STDOUT,
+            )
+            async with asyncio.timeout(GENEROUS):
+                output, _ = await process.communicate()
+            assert process.returncode == code
+            assert said in output
+
+
 def _classes(*names: str, effect: str = "idempotent") -> dict[str, Any]:
     entry = SETUP["classes"][0]
     return SETUP | {"classes": [entry | {"name": name, "effect": effect} for name in names]}
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -344,7 +344,7 @@
 
     def _may_repeat(self, pending: Pending, now: int) -> bool:
         """Whether another attempt may start at all."""
-        if pending.out and not self._settings.may_hedge:
+        if pending.spent or (pending.out and (pending.request.streams or not self._settings.may_hedge)):
             return False
         first = pending.first_unsure
         if first is None or pending.kind.effect is Effect.IDEMPOTENT:
@@ -371,11 +371,10 @@
         pending, attempt = self._find(event.request, event.attempt)
         if pending is None or attempt is None:
             return []
-        attempt.outcome = event.outcome
+        attempt.outcome, pending.spent = event.outcome, pending.spent or event.spent
         host = self._host_of(attempt)
-        if host is not None:
-            self._out -= min(1, host.in_flight)
-            host.in_flight = max(0, host.in_flight - 1)
+        if host is not None and not attempt.streams:
+            self._release(host)
             self._judge(host, pending, attempt, now, now - event.waited)
         if not event.answered and not pending.answered:
             return self._advance(pending, now)
@@ -388,10 +387,20 @@
             return []
         host = self._host_of(attempt)
         if host is not None:
+            self._release(host)
+            late = event.latency > TARGET * pending.kind.aim
+            self._learn(host, pending, attempt, event.latency, now)
+            self._shed.sign(not late, now)
             host.succeed(pending.kind, attempt, now)
+            if not attempt.judged:
+                self._judge_load(host, pending, attempt, Outcome.OK, now, pending.arrived + event.latency)
         attempt.judged = attempt.streams = True
         return self._settle(pending)
 
+    def _release(self, host: Host) -> None:
+        self._out -= min(1, host.in_flight)
+        host.in_flight = max(0, host.in_flight - 1)
+
     def _find(self, request: RequestId, number: int) -> tuple[Pending | None, Attempt | None]:
         pending = self._pending.get(request)
         known = pending.attempts[number : number + 1] if pending else []
@@ -404,7 +413,7 @@
     def _judge(self, host: Host, pending: Pending, attempt: Attempt, now: int, ended: int) -> None:
         outcome, taken = attempt.outcome, ended - attempt.sent
         late = taken > TARGET * pending.kind.aim
-        served = outcome is Outcome.OK and not attempt.streams
+        served = outcome is Outcome.OK
         if served:
             self._learn(host, pending, attempt, taken, now)
         # Calling off what was not late yet, as when its client leaves, says nothing of the load.
@@ -413,7 +422,7 @@
         if served:
             host.succeed(pending.kind, attempt, now)
         if not attempt.judged:  # else its verdict is given
-            self._judge_load(host, pending, attempt, now, ended)
+            self._judge_load(host, pending, attempt, attempt.outcome, now, ended)
             if not served:
                 self._judge_health(host, pending, attempt, now)
 
@@ -439,11 +448,13 @@
         by = MARK_STEP * ((1 - LATE) if passed else -LATE)
         self._marks[name] = max(LEAST_MARK, self._marks.get(name, FIRST_MARK) * (1 + by))
 
-    def _judge_load(self, host: Host, pending: Pending, attempt: Attempt, now: int, ended: int) -> None:
+    def _judge_load(
+        self, host: Host, pending: Pending, attempt: Attempt, outcome: Outcome | None, now: int, ended: int
+    ) -> None:
         before = host.limit
-        if attempt.outcome is Outcome.OK and ended - pending.arrived <= self._room(pending):
+        if outcome is Outcome.OK and ended - pending.arrived <= self._room(pending):
             host.widen()
-        elif attempt.outcome not in NO_LOAD:
+        elif outcome not in NO_LOAD:
             host.narrow(attempt, now)
         self._limits += host.limit - before
 
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -174,6 +174,7 @@
     key: str | None = None
     retry: bool = False  # a client's own repeat, where clients mark them
     tenant: str = ""
+    streams: bool = False  # its body is sent on as it comes: one attempt at a time
 
 
 class StreamStarted(NamedTuple):
@@ -195,7 +196,10 @@
     latency: int
     answered: bool  # the client has its final answer
     load: dict[str, float] | None = None
-    waited: int = 0  # time that the answer lay here unread: no slowness of the server's
+    waited: int = (
+        0  # time that was none of the server's: its answer lay here unread, the body was still to come
+    )
+    spent: bool = False  # a part of the request can't be had again: no other attempt
 
 
 class RequestGone(NamedTuple):
@@ -301,6 +305,7 @@
     arrived: int
     deadline: int
     most: int  # attempts that it may have, as it was taken
+    spent: bool = False  # a part of it can't be had again
     fallback: ServerId | None = None
     attempts: list[Attempt] = field(default_factory=list)
     answered: bool = False
--- a/whinrouter/net/attempt.py
+++ b/whinrouter/net/attempt.py
@@ -12,6 +12,7 @@
 from whinrouter.net.wheel import Timer
 
 Ended = Callable[["Attempt", Outcome, Message | None], None]
+Began = Callable[["Attempt", Message], None]
 
 
 class Carrier(Protocol):
@@ -47,8 +48,13 @@
         ended: Ended,
         owner: Any = None,
         number: int = 0,
+        began: Began | None = None,
     ) -> Attempt | None:
-        """Start an attempt; None if the host may not be sent to. It may end before this returns."""
+        """Start an attempt; None if the host may not be sent to. It may end before this returns.
+
+        `began` is called with an answer that is served and whose body is passed on as it comes; with None,
+        such an answer is of no use. The attempt ends with its body.
+        """
 
 
 class Attempt:
@@ -56,6 +62,7 @@
 
     __slots__ = (
         "_ended",
+        "began",
         "connection",
         "expires",
         "host",
@@ -63,6 +70,7 @@
         "number",
         "owner",
         "started",
+        "streams",
         "task",
         "timer",
         "waited",
@@ -77,7 +85,10 @@
         owner: Any,
         number: int,
         now: float,
+        began: Began | None = None,
     ) -> None:
+        self.began = began
+        self.streams = False  # its answer goes to the client as it comes
         self.host = host
         self.message = message
         self.expires = expires  # loop time
@@ -105,7 +116,9 @@
         return self.connection is not None and not self.connection.quiet()
 
     def text(self, now: float) -> bytes:
-        return write_request(self.message, max(0.0, self.expires - now))
+        left = max(0.0, self.expires - now)
+        # How long its client waits begins with the end of its body, which is still to come.
+        return write_request(self.message, left if self.message.rest is None else self.message.patience)
 
     def end(self, outcome: Outcome, answer: Message | None = None) -> None:
         ended, self._ended = self._ended, None
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -19,20 +19,31 @@
 from whinrouter.net.connect import Listener
 from whinrouter.net.door import Door
 from whinrouter.net.gateway import Answer, Asked, Gateway
-from whinrouter.net.http import BadMessageError, Message, Reading, RequestReader, write_answer
+from whinrouter.net.http import (
+    LAST_CHUNK,
+    BadMessageError,
+    Message,
+    Reading,
+    RequestReader,
+    chunk,
+    write_answer,
+    write_head,
+)
 from whinrouter.net.routes import Routes
-from whinrouter.net.sockets import age, end, left, unread
+from whinrouter.net.sockets import age, end, left, reset, unread
 from whinrouter.operations.presence import Presence
 from whinrouter.ownlimit import OwnLimit
+from whinrouter.streaming.flow import FLOOR, GRACE, Flow
 
 log = logging.getLogger(__name__)
 
 MAX_QUEUED = 4  # requests that a client may send ahead on one connection; most send none
 MAX_BUFFERED = 4 * 1024 * 1024  # bytes of requests that wait or have not come whole, of all clients together
 MAX_ID = 128  # characters of a request's id
-# Seconds within which a request must be whole, from its connection's start or its own. Those who open
-# connections and send nothing, or begin and never end, are gone before they have waited for three.
-RECEIVE_TIME = 2.0
+# Seconds within which a head must be whole, from its connection's start or its own: slow clients take
+# two. Those who open connections and send nothing, or begin and never end, are gone before they have waited
+# for three. From its head on a body has the time that its bytes earn (`flow.py`).
+RECEIVE_TIME = 2.4
 # Seconds for which a connection is kept after an answer. Some clients ask once and never close, and clients
 # together have only so many connections.
 IDLE_TIME = 2.5
@@ -45,6 +56,8 @@
 MAX_PLAIN = 4096  # bytes of a request that may be refused without being parsed
 COME_BACK = (0.2, 0.6)  # seconds after which those are to come back, spread: some intervals of ownlimit.py
 LINGER = 0.5  # seconds for which a client may go on sending what was rejected
+# And for which one may go on with a body whose request has its answer already, before its connection ends.
+LINGER_BODY = 3.0
 SWEEP_EVERY = 0.25  # seconds between looks at who is overdue
 # Connections that are looked at to make room for one. Those with something unread go to the end of the line,
 # so that a crowd of them costs each newcomer no more than these few looks.
@@ -99,6 +112,8 @@
         self.connections: set[_Client] = set()
         # Those with no request in work, in the order in which they make room for others.
         self.waiting: OrderedDict[_Client, None] = OrderedDict()
+        # Those with a body on its way, in either direction.
+        self.streaming: set[_Client] = set()
         self.open_ids: set[str] = set()  # of the requests in work
         self.buffered = 0  # bytes of requests that are not in work yet
         self.presence = Presence()
@@ -179,6 +194,8 @@
         for client in [client for client in self.waiting if client.due <= now]:
             if client.dispensable or client.due + UNREAD_GRACE <= now:
                 client.run_out()
+        for client in [client for client in self.streaming if client.stuck(now)]:
+            client.give_up()
         rest = self.presence.rest(now)
         if rest is not None:
             for client in [client for client in self.waiting if client.since <= now - rest]:
@@ -274,10 +291,17 @@
     """One client's connection; its requests are handled one after the other."""
 
     def __init__(self, front: Frontend) -> None:
-        self._requests = RequestReader()
+        self._requests = RequestReader(self._flow)
         super().__init__(self._requests)
         self._front = front
+        self._in: Flow | None = None  # a body that comes, of the request in work or of one behind it
+        self._own: Flow | None = None  # that of the request in work
+        self._out: Flow | None = None  # of its answer, while it is passed on
+        self._chunked = False  # and how
+        self._newer = True  # it speaks HTTP/1.1
+        self._quit = 0.0  # loop time until which a body that nobody wants is read
         self._loop = asyncio.get_running_loop()
+        self._requests.clock = self._loop.time
         self._transport: asyncio.Transport | None = None
         self._queued: deque[Message] = deque()
         self._busy = False
@@ -289,6 +313,7 @@
         self._unread = False  # the client does not take what was written to it
         self._descriptor = -1
         self._begun = 1  # the message whose time to come runs: the first, from the connection's start
+        self._bodied = 0  # the message whose body has begun
         self._counted = 0  # its part of what all have buffered
         self.since = 0.0  # loop time from which it waits
         self.due = 0.0  # and at which it has waited long enough
@@ -342,15 +367,23 @@
         for message in messages:
             message.came = came
         self._queued.extend(messages)
+        body = self._in
+        if body is not None and body.came and body is self._in:
+            self._body_came(body)
+        if self._deaf:
+            return
         if reader.size or self._counted or len(self._queued) > 1:  # else all of it begins now, or is idle
             self._count()
         if reader.error is not None:
-            self._reject(reader.error.status)
+            if self._out is not None:  # a part of an answer has gone out: there is no other
+                self.drop()
+            else:
+                self._reject(reader.error.status)
         elif len(self._queued) > MAX_QUEUED or self._front.overfull:
             self._turn_away()
         else:
             self._next()
-            self._note_begun()
+            self._note_begun(len(data))
 
     def _came(self, data: memoryview) -> float | None:
         """The loop time at which these bytes were here; None if nothing more is to be done with them."""
@@ -379,17 +412,92 @@
         self._transport.close()
         return True
 
+    def _flow(self, length: int | None) -> Flow:
+        if self._in is not None:  # the body before this one ended in the same read
+            self._body_came(self._in)
+        self._in = Flow(self, length, self._loop.time(), GRACE, FLOOR)
+        self._front.streaming.add(self)
+        return self._in
+
+    def _body_came(self, body: Flow) -> None:
+        self._in = None
+        if self._out is None:
+            self._front.streaming.discard(self)
+        if self._quit:  # its answer is long out
+            self._part()
+        elif body is self._own and self._request is not None:
+            self._front.gateway.whole(self._request)
+
+    @property
+    def _early(self) -> bool:
+        """Whether the body of the request in work is to come yet."""
+        return self._own is not None and not self._own.came
+
+    def hold(self) -> None:
+        """The host takes no more for now."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def go_on(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def unwanted(self) -> None:
+        """Nobody takes the body's rest, and there is no answer to it."""
+        self.drop()
+
+    def take(self, data: bytes) -> None:
+        """A piece of the answer's body."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(chunk(data) if self._chunked else data)
+
+    def took_all(self) -> None:
+        """The answer is whole."""
+        self._out = None
+        if self._in is None:
+            self._front.streaming.discard(self)
+        if self._chunked and self._transport is not None and not self._transport.is_closing():
+            self._transport.write(LAST_CHUNK)
+        self._answered()
+
+    def cut(self) -> None:
+        """The answer's rest will not come: a reset, so that the client can tell."""
+        self._out = None
+        self._front.waiting.pop(self, None)
+        self._deaf = True
+        if self._transport is not None:
+            reset(self._transport)
+
+    def stuck(self, now: float) -> bool:
+        """Whether a body on its way is not moved, or one that nobody wants still comes."""
+        return any(flow.overdue(now) for flow in (self._in, self._out) if flow is not None) or (
+            0.0 < self._quit <= now
+        )
+
+    def give_up(self) -> None:
+        """The client does not send its body, or take its answer, or the host does not give it."""
+        self._front.streaming.discard(self)
+        if self._out is None and self._in is not None and not self._quit:
+            self._reject(HTTPStatus.REQUEST_TIMEOUT)
+        else:
+            self.drop()
+
     def _count(self) -> None:
         held = sum(len(message.body) for message in self._queued) + self._requests.size
         self._front.buffered += held - self._counted
         self._counted = held
 
-    def _note_begun(self) -> None:
+    def _note_begun(self, came: int) -> None:
         if self._busy or not self._requests.began:
             return
+        now = self._loop.time()
         if self._requests.count > self._begun:
             self._begun = self._requests.count
             self._wait(RECEIVE_TIME)
+        elif self._requests.in_body:
+            earned = came / FLOOR if self._bodied == self._begun else GRACE
+            self._bodied = self._begun
+            self.due = min(now + GRACE, max(self.due, now) + earned)
         if self._requests.waits_for_leave and self._transport is not None:
             self._requests.waits_for_leave = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -415,6 +523,14 @@
             self._wait(LINGER)
             self._front.waiting.move_to_end(self, last=False)
 
+    def _refuse(self, status: HTTPStatus) -> None:
+        """A request that can't be taken: its own body, if it is to come yet, is not read any more."""
+        body, self._in = self._in, None
+        if body is not None:
+            self._front.streaming.discard(self)
+            body.discard(self._loop.time())
+        self._reject(status)
+
     def _turn_away(self) -> None:
         """It sends more than may wait. What is in work may have run: only its own answer will do for that."""
         self._stop_reading()
@@ -430,10 +546,11 @@
             self._busy = True
             self._front.waiting.pop(self, None)
             self._close = self._close or not message.keep_alive
+            self._newer, self._own = message.newer, message.rest
             try:
                 self._begin(message)
             except BadMessageError as error:
-                self._reject(error.status)
+                self._refuse(error.status)
             except Exception:
                 log.exception("failed on a request")
                 self._reply(Answer(HTTPStatus.INTERNAL_SERVER_ERROR))
@@ -453,23 +570,78 @@
         request = self._front.gateway.take(asked, self._reply, waited)
         if self._busy:  # it may have its answer already
             self._request = request
+            if message.rest is not None and self._requests.waits_for_leave and self._transport is not None:
+                self._requests.waits_for_leave = False  # somebody wants the body
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def pause_writing(self) -> None:
-        """Answers nobody reads must not pile up: the next request waits."""
+        """Answers nobody reads must not pile up: the next request waits, and so does what is passed on."""
         self._unread = True
+        if self._out is not None:
+            self._out.full(self._loop.time())
 
     def resume_writing(self) -> None:
         self._unread = False
+        if self._out is not None:
+            self._out.room(self._loop.time())
         self._next()
 
     def _reply(self, answer: Answer) -> None:
         if not self._busy:
             return
+        if answer.rest is not None:
+            self._pass_on(answer, answer.rest)
+            return
+        if self._early:  # the answer is here before the request
+            self._close = True
+            self._finish(answer)
+            self._linger()
+            return
+        self._finish(answer)
+        self._rest_after()
+
+    def _linger(self) -> None:
+        """Read and drop what still comes of a body that has its answer; then part."""
+        self._quit = self._loop.time() + LINGER_BODY
+        if self._own is not None:
+            self._own.discard(self._loop.time())
+
+    def _pass_on(self, answer: Answer, rest: Flow) -> None:
+        """Its body goes on as it comes."""
+        self._close = self._close or not self._front.presence.up or self._early
+        length, transport = rest.length, self._transport
+        self._chunked = length is None and self._newer
+        self._close = self._close or (length is None and not self._newer)
+        if transport is None or transport.is_closing():
+            rest.cancel()
+            return
+        self._out = rest
+        self._front.streaming.add(self)
+        transport.write(write_head(answer.status, answer.headers, length, self._chunked, self._close))
+        if answer.body:
+            self.take(answer.body)
+        rest.attach(self, self._loop.time())
+        if self._unread and self._out is rest:
+            rest.full(self._loop.time())
+
+    def _answered(self) -> None:
+        """An answer that was passed on is whole."""
+        self._busy, self._request = False, None
+        self._free_id()
+        if self._early:
+            self._linger()
+        else:
+            self._rest_after()
+
+    def _finish(self, answer: Answer) -> None:
         self._busy, self._request = False, None
         self._free_id()
         self._close = self._close or not self._front.presence.up
         self._close = self._close and not self._crowded
         self._write(answer)
+
+    def _rest_after(self) -> None:
+        """Its answer is out: the connection ends, or waits for the next request."""
         if self._crowded:
             self._reject(HTTPStatus.TOO_MANY_REQUESTS)
             return
@@ -500,13 +672,17 @@
 
     def close_if_idle(self) -> None:
         """Close it if it is between requests; one that has begun to come is still taken."""
-        if not self.idle or not self.dispensable or self._transport is None:
-            return
+        if self.idle and self.dispensable:
+            self._part()
+
+    def _part(self) -> None:
+        """Close it; what it is owed still goes out."""
         self._deaf = True
-        if self.owed:
-            self._transport.close()
-        else:
-            end(self._transport)
+        if self._transport is not None:
+            if self.owed:
+                self._transport.close()
+            else:
+                end(self._transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._front.connections.discard(self)
@@ -517,6 +693,7 @@
         self._counted = 0
         self._deaf = self._close = True
         self._queued.clear()
+        self._front.streaming.discard(self)
         self._end_request()
         self._requests.close()
 
@@ -527,6 +704,13 @@
         self._free_id()
         if request is not None:
             self._front.gateway.leave(request)
+        coming, self._in, self._own = (self._in, self._own), None, None
+        going, self._out = self._out, None
+        for flow in coming:
+            if flow is not None:
+                flow.fail()
+        if going is not None:
+            going.cancel()
 
     def _free_id(self) -> None:
         self._front.open_ids.discard(self._id)
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -27,6 +27,7 @@
     ServerList,
     SetTimer,
     Settings,
+    StreamStarted,
     TimerFired,
     Update,
 )
@@ -35,9 +36,12 @@
 from whinrouter.net.hosts import HostList
 from whinrouter.net.http import Headers, Message
 from whinrouter.net.wheel import Timer, Wheel
+from whinrouter.streaming.flow import Flow
 
 log = logging.getLogger(__name__)
 
+# Microseconds that a body may take to come: 40 MiB at the least rate (`FLOOR`), and half as much again.
+LONGEST_BODY = 2_000 * SECOND
 # Microseconds before the client's own limit by which its answer is due: its way here, which the limit counts
 # too, the way back, and a loop that runs late. On a busy core both ways together took 10 ms at the 99th
 # percentile.
@@ -48,6 +52,7 @@
     status: int
     headers: Headers = []  # noqa: RUF012 - nobody adds to it
     body: bytes = b""
+    rest: Flow | None = None  # of the body, where it is passed on as it comes
 
 
 class Asked(NamedTuple):
@@ -66,7 +71,18 @@
 class _Held:
     """A request with its answer owed, or attempts out."""
 
-    __slots__ = ("deadline", "message", "reply", "request", "sent", "spared", "timer")
+    __slots__ = (
+        "deadline",
+        "message",
+        "patience",
+        "reply",
+        "request",
+        "sent",
+        "spared",
+        "timer",
+        "whole",
+        "wishes",
+    )
 
     def __init__(
         self, request: RequestId, message: Message, reply: Callable[[Answer], None], deadline: int
@@ -78,6 +94,16 @@
         self.timer: Timer | None = None
         self.spared = False  # its time was up while an answer lay unread
         self.sent: list[Attempt | None] = []  # by number; None once it has ended
+        self.patience = (
+            0  # microseconds that its client waits from the end of its body, if that is to come yet
+        )
+        self.whole = 0.0  # loop time at which such a body was whole; 0.0 before
+        self.wishes: list[tuple[Attempt, int, TimerFired]] = []  # timers that wait for that
+
+    @property
+    def comes(self) -> bool:
+        """Whether its body is still to come."""
+        return self.patience > 0 and not self.whole
 
 
 class Clock:
@@ -148,10 +174,29 @@
         now = self.clock.now()
         held = _Held(request, message, reply, now + timeout)
         self._held[request] = held
-        held.timer = self._timers.call_later(timeout / SECOND, self._expire, held)
-        self._feed(Request(request, class_name, timeout, cost, key, retry, tenant), request, now)
+        streams = message.rest is not None and not message.rest.came
+        message.patience = timeout / SECOND
+        if streams:  # its time begins with the end of its body
+            held.deadline, held.patience = now + LONGEST_BODY, timeout
+        held.timer = self._timers.call_later((held.deadline - now) / SECOND, self._expire, held)
+        self._feed(Request(request, class_name, timeout, cost, key, retry, tenant, streams), request, now)
         return request
 
+    def whole(self, request: RequestId) -> None:
+        """The body of a request that was taken before it has come: its time begins."""
+        held = self._held.get(request)
+        if held is None or not held.comes:
+            return
+        held.whole, held.deadline = self._loop.time(), self.clock.now() + held.patience
+        if held.timer is not None:
+            held.timer.cancel()
+        if held.reply is not None:
+            held.timer = self._timers.call_later(held.patience / SECOND, self._expire, held)
+        wishes, held.wishes = held.wishes, []
+        for attempt, delay, fired in wishes:
+            if not attempt.over:
+                attempt.timer = self._timers.call_later(delay / SECOND, self._fire, attempt, fired, True)
+
     def leave(self, request: RequestId) -> None:
         """The client closed its connection: nothing is owed, and nothing may be sent to it any more."""
         held = self._held.get(request)
@@ -216,7 +261,9 @@
             return
         held = self._held.get(request)
         attempt = held.sent[number] if held is not None else None
-        if attempt is not None:
+        if held is not None and attempt is not None and held.comes:  # the host has not what it is to answer
+            held.wishes.append((attempt, delay, TimerFired(token)))
+        elif attempt is not None:
             fired = TimerFired(token)
             attempt.timer = self._timers.call_later(delay / SECOND, self._fire, attempt, fired, True)
 
@@ -236,7 +283,7 @@
         attempt = None
         if held.reply is not None and until > now:  # no attempt leaves after the final answer
             due = self._loop.time() + (until - now) / SECOND
-            attempt = self._upstream.send(server, held.message, due, self._ended, held, number)
+            attempt = self._upstream.send(server, held.message, due, self._ended, held, number, self._began)
         if attempt is None:
             self._tell(held, number, server, Outcome.NOT_SENT, now)
         elif not attempt.over:
@@ -244,6 +291,22 @@
             if until < held.deadline:
                 self._timers.call_later((until - now) / SECOND, _time_out, attempt)
 
+    def _began(self, attempt: Attempt, answer: Message) -> None:
+        """An answer has begun whose body is passed on: the client has it, and the host is to end it."""
+        held: _Held = attempt.owner
+        reply, held.reply = held.reply, None
+        if reply is None or answer.rest is None:
+            attempt.stop(Outcome.CANCELLED)
+            return
+        if held.timer is not None:
+            held.timer.cancel()
+        now = self.clock.now()
+        taken = self._loop.time() - max(attempt.started, held.whole) - attempt.waited
+        reply(Answer(200, answer.headers, answer.body, answer.rest))
+        server = attempt.host.member.server.id
+        event = StreamStarted(held.request, attempt.number, server, max(0, round(taken * SECOND)))
+        self._feed(event, held.request, now)
+
     def _ended(self, attempt: Attempt, outcome: Outcome, answer: Message | None) -> None:
         held: _Held = attempt.owner
         held.sent[attempt.number] = None
@@ -252,9 +315,15 @@
         if answer is not None and outcome is Outcome.OK and held.reply is not None:
             reply, held.reply = held.reply, None
             reply(Answer(200, answer.headers, answer.body))
-        lay = round(attempt.waited * SECOND)
+        lay = round((attempt.waited + self._spent_on_body(held, attempt)) * SECOND)
         self._tell(held, attempt.number, attempt.host.member.server.id, outcome, now, latency, lay)
 
+    def _spent_on_body(self, held: _Held, attempt: Attempt) -> float:
+        """Seconds of an attempt in which its host waited for the client's body."""
+        if not held.patience:
+            return 0.0
+        return max(0.0, (held.whole or self._loop.time()) - attempt.started)
+
     def _tell(
         self,
         held: _Held,
@@ -266,7 +335,9 @@
         lay: int = 0,
     ) -> None:
         answered = held.reply is None
-        event = AttemptEnded(held.request, number, server, outcome, latency, answered, None, lay)
+        rest = held.message.rest
+        spent = rest is not None and rest.begun
+        event = AttemptEnded(held.request, number, server, outcome, latency, answered, None, lay, spent)
         self._feed(event, held.request, now)
 
     def _answer(self, request: RequestId, answer: Answer) -> None:
@@ -280,7 +351,8 @@
         if held.reply is not None:
             return
         for attempt in held.sent:
-            if attempt is not None and not attempt.written:  # its connection may yet come up
+            # Its connection may yet come up; one whose answer is passed on has had its request.
+            if attempt is not None and not attempt.written and not attempt.streams:
                 attempt.stop(Outcome.CANCELLED)
         if not any(held.sent):
             if held.timer is not None:
@@ -317,5 +389,7 @@
 
 
 def _time_out(attempt: Attempt) -> None:
+    if attempt.streams:  # the answer has begun: it is its host's to end
+        return
     # With its last byte still here the host never had it, and the client may try again without harm.
     attempt.stop(Outcome.TIMEOUT if attempt.written else Outcome.NOT_SENT)
--- a/whinrouter/net/sockets.py
+++ b/whinrouter/net/sockets.py
@@ -6,6 +6,7 @@
 import contextlib
 import select
 import socket
+import struct
 import sys
 from collections.abc import Callable
 
@@ -57,6 +58,14 @@
     return bool(poll.poll(0))
 
 
+def reset(transport: asyncio.Transport) -> None:
+    """Close so that the peer can tell it from an end: what it has is not all that it was to get."""
+    with contextlib.suppress(OSError):
+        linger = struct.pack("ii", 1, 0)
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    transport.abort()
+
+
 def end(transport: asyncio.Transport) -> None:
     """Close now.
 
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -10,11 +10,12 @@
 from typing import Any
 
 from whinrouter.interface import Outcome, ServerId, State
-from whinrouter.net.attempt import Attempt, Ended
+from whinrouter.net.attempt import Attempt, Began, Ended
 from whinrouter.net.connect import connect
 from whinrouter.net.hosts import Member
-from whinrouter.net.http import Message, Reading, ResponseReader
+from whinrouter.net.http import LAST_CHUNK, Message, Reading, ResponseReader, chunk
 from whinrouter.net.sockets import age, poller
+from whinrouter.streaming.flow import STALL, Flow
 
 log = logging.getLogger(__name__)
 
@@ -35,8 +36,11 @@
     """One connection to a host; carries one attempt at a time."""
 
     def __init__(self, pool: Upstream, host: _Host) -> None:
-        self._answers = ResponseReader()
+        self._answers = ResponseReader(self._flow)
+        self._answers.clock = pool.now
         super().__init__(self._answers)
+        self._body: Flow | None = None  # of the request, while it is passed on
+        self._kept_alive = False  # whether the answer that is passed on leaves the connection open
         self._pool = pool
         self._host = host
         self._transport: asyncio.Transport | None = None
@@ -66,48 +70,142 @@
         transport = self._transport
         assert transport is not None
         self._attempt, attempt.connection = attempt, self
+        self._answers.to_head = attempt.message.method == b"HEAD"
         self.written = True  # pause_writing takes it back at once if not all of it leaves
         transport.write(attempt.text(now))
         if transport.is_closing():  # the write failed outright: not one byte left
             self.written = False
+        rest = attempt.message.rest
+        if rest is not None:
+            self.written, self._body = False, rest
+            rest.attach(self, now)
+
+    def take(self, data: bytes) -> None:
+        """A piece of the request's body."""
+        if self._transport is not None and self._body is not None and not self._transport.is_closing():
+            self._transport.write(data if self._body.length is not None else chunk(data))
+
+    def took_all(self) -> None:
+        """The request's body is whole; the host has the last byte once it has left."""
+        body, self._body = self._body, None
+        transport = self._transport
+        if transport is None or body is None or transport.is_closing():
+            return
+        self.written = transport.get_write_buffer_size() == 0
+        if body.length is None:
+            self.written = True
+            transport.write(LAST_CHUNK)
+
+    def cut(self) -> None:
+        """The request's body broke off: its client has left, or sent what is no body."""
+        self._body = None
+        if self._attempt is not None:
+            self._attempt.stop(Outcome.CANCELLED)
 
     def pause_writing(self) -> None:
         self.written = False
+        if self._body is not None:
+            self._body.full(self._pool.now())
 
     def resume_writing(self) -> None:
-        self.written = True
+        if self._body is not None:
+            self._body.room(self._pool.now())
+        else:
+            self.written = True
+
+    def _flow(self, length: int | None) -> Flow:
+        return Flow(self, length, self._pool.now(), STALL, 0.0)
+
+    def hold(self) -> None:
+        """The client takes no more for now."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def go_on(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def unwanted(self) -> None:
+        """The client has left, or nobody wants the answer."""
+        if self._attempt is not None:
+            self._attempt.stop(Outcome.CANCELLED)
+        else:
+            self.drop()
 
     def received(self, data: memoryview) -> None:
         if self._attempt is None:  # bytes that nobody asked for would be taken for the next answer
             self.drop()
             return
-        reader = self._answers
+        reader, streamed = self._answers, self._attempt.streams
         answers = reader.feed(data)
-        if answers:
+        if streamed:
+            if reader.rest is None:  # it is whole; what comes behind it is noise
+                self._finished(not answers and not reader.began and reader.error is None)
+            elif reader.error is not None:
+                self._spoilt()
+        elif answers:
             # A whole answer is good whatever comes behind it; the connection is not, as what follows,
             # even the start of another answer, would be taken for the next one.
             alone = len(answers) == 1 and not reader.began and reader.error is None
-            self._answered(answers[0], self.written and alone)
+            self._take_answer(answers[0], alone)
         elif reader.error is not None:
-            log.warning("a host's answer is of no use: %s", reader.error)
-            self._break()
+            self._spoilt()
+
+    def _spoilt(self) -> None:
+        log.warning("a host's answer is of no use: %s", self._answers.error)
+        self._break()
+
+    def _take_answer(self, answer: Message, alone: bool) -> None:
+        if answer.rest is None:
+            self._answered(answer, self.written and alone and not self._answers.bare)
+            return
+        attempt = self._attempt
+        assert attempt is not None
+        if attempt.began is None or _outcome(answer) is not Outcome.OK:
+            # What it says stands in its head, and nobody is to read its body.
+            self._answered(answer, False)
+            return
+        attempt.streams, self._kept_alive = True, answer.keep_alive
+        attempt.began(attempt, answer)
+        if self._attempt is attempt and self._answers.rest is None:  # all of it was in this one read
+            self._finished(alone)
+
+    def _finished(self, clean: bool) -> None:
+        """The body of an answer that is passed on is whole."""
+        attempt, self._attempt = self._attempt, None
+        if attempt is not None:
+            attempt.connection = None
+            self._keep(self.written and clean and self._kept_alive)
+            attempt.end(Outcome.OK)
+
+    def _keep(self, clean: bool) -> None:
+        """Idle until the next attempt, but not until the host closes it: a request could cross that."""
+        host = self._host
+        if clean and host.ready and self.usable:
+            self.idle_since = self._pool.now()
+            host.idle.append(self)
+        else:
+            self.drop()
 
     def _answered(self, answer: Message, clean: bool) -> None:
         attempt, self._attempt = self._attempt, None
         assert attempt is not None
         attempt.connection = None
-        host, now = self._host, self._pool.now()
+        now = self._pool.now()
         if self._transport is not None and now - attempt.started > QUICK:
             attempt.waited = min(age(self._transport), now - attempt.started)
-        if answer.keep_alive and clean and host.ready and self.usable:
-            # Idle until the next attempt, but not until the host closes it: a request could cross that.
-            self.idle_since = now
-            host.idle.append(self)
-        else:
-            self.drop()
+        self._keep(answer.keep_alive and clean)
         attempt.end(_outcome(answer), answer)
 
     def eof_received(self) -> None:
+        """It may be the end of an answer that says no length."""
+        if self._attempt is not None:
+            streamed = self._attempt.streams
+            answers = self._answers.finish()
+            if streamed and self._answers.rest is None:
+                self._finished(False)
+            elif answers:
+                self._answered(answers[0], False)
         self._break()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -119,6 +217,9 @@
         attempt, self._attempt = self._attempt, None
         written = self.written
         self.drop()
+        rest = self._answers.rest
+        if rest is not None:
+            rest.fail()
         if attempt is not None:
             attempt.connection = None
             # With request bytes still here the host cannot have begun; after the last one it may have.
@@ -126,6 +227,9 @@
 
     def drop(self) -> None:
         self._attempt = None
+        body, self._body = self._body, None
+        if body is not None:
+            body.detach(self._pool.now())
         if self in self._host.idle:
             self._host.idle.remove(self)
         if self._transport is not None:
@@ -209,13 +313,14 @@
         ended: Ended,
         owner: Any = None,
         number: int = 0,
+        began: Began | None = None,
     ) -> Attempt | None:
         """Start an attempt; None if the host may not be sent to. It may end before this returns."""
         host = self._hosts.get(server)
         if host is None:
             return None
         now = self.now()
-        attempt = Attempt(host, message, expires, ended, owner, number, now)
+        attempt = Attempt(host, message, expires, ended, owner, number, now, began)
         # The latest used: the longer one has stood idle, the likelier its host has closed it.
         while host.idle:
             connection = host.idle.pop()
--- a/whinrouter/operator/cli.py
+++ b/whinrouter/operator/cli.py
@@ -16,6 +16,7 @@
 from whinrouter.operator.findings import Finding
 from whinrouter.operator.host import check_host, configurations
 from whinrouter.operator.loading import Loaded, load
+from whinrouter.operator.values import Address
 from whinrouter.operator.writing import describe, difference, draft, write
 
 GOOD, FOUND, USAGE = 0, 1, 2
@@ -40,6 +41,11 @@
     run.add_argument("--operator", type=Path, required=True, metavar="FILE")
     run.add_argument("--digest", help="run only what `check` showed this digest of")
     run.set_defaults(act=_run)
+    ctl = commands.add_parser("ctl", help="a call to a running gateway: HEALTH, OFFLINE ID, ...")
+    ctl.add_argument("address", type=Address.read, metavar="HOST:PORT")
+    ctl.add_argument("words", nargs="+", metavar="CALL")
+    ctl.add_argument("--json", action="store_true")
+    ctl.set_defaults(act=_ctl)
     sidecar = commands.add_parser("sidecar", help="write and check configurations").add_subparsers(
         required=True
     )
@@ -69,6 +75,12 @@
     return run(told.operator, told.digest)
 
 
+def _ctl(told: argparse.Namespace) -> int:
+    from whinrouter.control.ctl import main as call  # noqa: PLC0415 - files are checked without it
+
+    return call((told.address.host, told.address.port), told.words, told.json)
+
+
 def _check(told: argparse.Namespace) -> int:
     loads: list[Loaded] = []
     findings: list[Finding] = []
--- /dev/null
+++ b/whinrouter/streaming/__init__.py
@@ -0,0 +1,1 @@
+"""Bodies that are passed on while they come. No I/O."""
--- /dev/null
+++ b/whinrouter/streaming/flow.py
@@ -0,0 +1,186 @@
+"""A body on its way from one connection to another.
+
+Theory of operation. Whoever reads the body (the source) puts in what came; whoever sends it on (the sink)
+takes it at once. Nothing is gathered but what comes while there is no sink, or while the sink says that it
+has enough: then the source is told to read no more, and what it had read already is all that is held:
+`MOST` and one read.
+
+    FILLING --attach--> FLOWING --end--> ENDED            (detach: back to FILLING, if all is here still)
+    either  --fail----> BROKEN: the sink is told, and ends so that its reader can tell
+    either  --cancel--> BROKEN: the source is told, and reads no more
+    either  --discard-> DISCARDING: nobody wants the rest; it is read and dropped
+
+What was given to a sink can't be had again: `begun` says so, and the request whose body this is can't be
+sent to another host any more.
+
+Who moves nothing is found by `overdue`: the source has `GRACE` seconds and what its bytes have earned at
+`FLOOR`, and never more than `GRACE` ahead, so that neither silence nor a trickle holds a place; while the
+sink has enough the time is the sink's, which has `STALL`. Times are seconds of one clock; it reads none.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Protocol
+
+MOST = 64 * 1024  # bytes that are held for want of a sink, beside one read
+# Bytes a second that a client's body comes with at least: half of what the slowest honest one is known for.
+FLOOR = 32_000.0
+GRACE = 2.0  # seconds of silence that a client may have
+STALL = 10.0  # and a host, or whoever takes what is passed on: long waits of theirs were within a few seconds
+
+
+class Source(Protocol):
+    """The connection that a body is read from."""
+
+    def hold(self) -> None:
+        """Read no more for now."""
+
+    def go_on(self) -> None:
+        """Read again."""
+
+    def unwanted(self) -> None:
+        """Nobody takes the rest: end it."""
+
+
+class Sink(Protocol):
+    """The connection that a body is written to."""
+
+    def take(self, data: bytes) -> None:
+        """Send this on."""
+
+    def took_all(self) -> None:
+        """That was all of it."""
+
+    def cut(self) -> None:
+        """The rest will not come: end so that the reader can tell."""
+
+
+class Stage(Enum):
+    """How far a body is."""
+
+    FILLING = "filling"
+    FLOWING = "flowing"
+    DISCARDING = "discarding"
+    ENDED = "ended"
+    BROKEN = "broken"
+
+
+class Flow:
+    """One body, whole or from behind what was kept of it."""
+
+    def __init__(self, source: Source, length: int | None, now: float, grace: float, floor: float) -> None:
+        """`length`: bytes of the whole body, as told; None: it is not told. `floor` 0: no floor of rate."""
+        self.length = length
+        self.stage = Stage.FILLING
+        self.begun = False  # a part of it can't be had again
+        self.came = False  # all of it is here, or has gone on
+        self._source = source
+        self._sink: Sink | None = None
+        self._kept: list[bytes] = []
+        self._size = 0
+        self._full = False  # the sink has enough
+        self._held = False  # the source reads no more
+        self._grace, self._floor = grace, floor
+        self._due = now + grace
+
+    def put(self, data: bytes, now: float) -> None:
+        """The source has read this."""
+        earned = len(data) / self._floor if self._floor else self._grace
+        self._due = min(now + self._grace, self._due + earned)
+        if self.stage is Stage.FLOWING and not self._full and self._sink is not None:
+            self.begun = True
+            self._sink.take(data)
+        elif self.stage in (Stage.FILLING, Stage.FLOWING):
+            self._kept.append(data)
+            self._size += len(data)
+        self._settle(now)
+
+    def _settle(self, now: float) -> None:
+        """Hold the source while more would have to be kept, and no longer."""
+        hold = self._full if self.stage is Stage.FLOWING else self._size > MOST
+        if hold and not self._held and not self.came:
+            self._held, self._due = True, now + STALL
+            self._source.hold()
+        elif self._held and not hold:
+            self._held, self._due = False, now + self._grace
+            self._source.go_on()
+
+    def end(self) -> None:
+        """The source has read all of it."""
+        self.came = True
+        if self._held:  # whatever comes behind it is not this body's
+            self._held = False
+            self._source.go_on()
+        if self.stage is Stage.DISCARDING:
+            self.stage = Stage.ENDED
+        self._pass_end()
+
+    def _pass_end(self) -> None:
+        if self.came and not self._kept and self.stage is Stage.FLOWING and self._sink is not None:
+            self.stage = Stage.ENDED
+            self._sink.took_all()
+
+    def attach(self, sink: Sink, now: float) -> None:
+        """From now on all of it goes here; what is held goes at once."""
+        self._sink, self.stage, self._full = sink, Stage.FLOWING, False
+        self._drain(now)
+
+    def _drain(self, now: float) -> None:
+        while self._kept and not self._full and self._sink is not None:
+            data = self._kept.pop(0)
+            self._size -= len(data)
+            self.begun = True
+            self._sink.take(data)
+        self._pass_end()
+        self._settle(now)
+
+    def detach(self, now: float) -> None:
+        """The sink is gone; another may come if nothing was lost with it."""
+        self._sink = None
+        if self.stage is Stage.FLOWING:
+            self.stage = Stage.FILLING
+            self._settle(now)
+
+    def full(self, now: float) -> None:
+        """The sink has enough for now."""
+        self._full, self._due = True, now + STALL
+        self._settle(now)
+
+    def room(self, now: float) -> None:
+        """The sink takes more."""
+        self._full, self._due = False, now + self._grace
+        if self.stage is Stage.FLOWING:
+            self._drain(now)
+
+    def discard(self, now: float) -> None:
+        """Nobody wants the rest; the source may read it and drop it."""
+        if self.stage in (Stage.ENDED, Stage.BROKEN):
+            return
+        self._sink, self._kept, self._size = None, [], 0
+        self.stage = Stage.ENDED if self.came else Stage.DISCARDING
+        self._settle(now)
+
+    def fail(self) -> None:
+        """The source broke."""
+        if self.stage in (Stage.ENDED, Stage.BROKEN):
+            return
+        self.stage, sink = Stage.BROKEN, self._sink
+        self._sink, self._kept, self._size = None, [], 0
+        if sink is not None:
+            sink.cut()
+
+    def cancel(self) -> None:
+        """The sink broke for good, and nobody else is to have it."""
+        if self.stage in (Stage.ENDED, Stage.BROKEN):
+            return
+        self.stage, self._sink, self._kept, self._size = Stage.BROKEN, None, [], 0
+        if not self.came:
+            self._source.unwanted()
+
+    def overdue(self, now: float) -> bool:
+        """Whether whoever is to move it has not for too long."""
+        if self.stage in (Stage.ENDED, Stage.BROKEN):
+            return False
+        # Of one that is here as a whole nobody owes anything but a sink that has enough.
+        return now >= self._due and (self._full or not self.came)
