Give up no reader whose system tells that it reads; sidecars take calls and classes anew

Asked by a probe: a client that reads 64 kB a second all the time was cut off after 10 s, with the flow full and nothing held here. At fault is Flow.overdue: it took the transport's resume_writing for the sign that a reader reads, but the system tells of room only once a good part of its megabytes is gone, which takes such a reader longer. Ruled out: a lost pause (nothing was held), the host (it went on), framing.

Noise behind a request no longer cuts an answer that is on its way: it is finished, and the connection ends. At an end bodies on their way are finished as long as they move. A line in the log says of a body that is given up who did not move.

--- a/tests/streaming/test_forms.py
+++ b/tests/streaming/test_forms.py
@@ -27,6 +27,9 @@
     def cut(self) -> None:
         raise AssertionError("it is whole")
 
+    def taken(self) -> int:
+        return -1
+
     def hold(self) -> None: ...
 
     def go_on(self) -> None: ...
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -15,6 +15,7 @@
 import orjson
 import pytest
 
+from tests.control.test_calls import ask as operator_call
 from tests.operator.cases import BASE, CORPUS
 from tests.peers import GENEROUS, Client, Peer, peers, says, scenario, silent, until
 from tests.processes import logged
@@ -274,6 +275,31 @@
             assert (len(first.requests), len(second.requests)) == (seen, 20)
 
 
+@scenario
+async def test_a_reload_takes_classes_over_and_calls_are_taken(tmp_path: Path) -> None:
+    async with peers(says()) as (host,):
+        lay(tmp_path, host)
+        path = tmp_path / "plain.toml"
+        calls = free_port()
+        whole = path.read_text().replace("[listen]\n", f'[listen]\ncontrol = "127.0.0.1:{calls}"\n')
+        path.write_text(whole)
+        async with sidecar(path) as process:
+            await logged(process, "takes calls on")
+            await logged(process, "listens on")
+            client = await connect(path)
+            assert await ask(client, "GET", "/page-read") == 200
+            assert (await operator_call(calls, f"OFFLINE 127.0.0.1:{host.port}")).startswith("+OK")
+            assert await ask(client, "GET", "/page-read") == 503
+            assert (await operator_call(calls, f"ONLINE 127.0.0.1:{host.port}")).startswith("+OK")
+            async with asyncio.timeout(GENEROUS):
+                while await ask(client, "GET", "/page-read") != 200:
+                    await asyncio.sleep(0.01)
+            path.write_text(whole + '\n[[class]]\nname = "gift"\n')
+            process.send_signal(signal.SIGHUP)
+            await logged(process, "settings: ")
+            assert await ask(client, "POST", "/gift") == 200
+
+
 def application(folder: Path) -> subprocess.Popen[bytes]:
     """A process that stands for the application, and its file."""
     process = subprocess.Popen([sys.executable, "-c", "import time; time.sleep(1000)"])
--- a/whinrouter/net/config.py
+++ b/whinrouter/net/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
@@ -78,12 +79,12 @@
     if wrong:
         raise ConfigError("; ".join(wrong))
     try:
-        return _config(told, environment.get("PROXY_SOCKET_FD"))
+        return _config(told, inherited(environment))
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise ConfigError(f"the configuration is no good: {type(error).__name__}: {error}") from None
 
 
-def _config(told: Mapping[str, Any], listener: str | None) -> Config:
+def _config(told: Mapping[str, Any], listener: int | None) -> Config:
     setup = told["settings"]
     limits, allowed = told.get("limits") or {}, setup.get("permissions") or {}
     return Config(
@@ -97,11 +98,22 @@
         idle_time=int(allowed.get("connIdle") or 15 * SECOND) / SECOND,
         sockets=int(limits.get("sockets") or 1024),
         control=address(told["control"]) if told.get("control") else None,
-        listener=int(listener) if listener else None,
+        listener=listener,
         told=told,
     )
 
 
+FIRST_PASSED = 3  # the first descriptor of socket activation (sd_listen_fds)
+
+
+def inherited(environment: Mapping[str, str]) -> int | None:
+    """The descriptor of a listening socket that came with the process; None if none did."""
+    if environment.get("PROXY_SOCKET_FD"):
+        return int(environment["PROXY_SOCKET_FD"])
+    ours = environment.get("LISTEN_PID") == str(os.getpid())
+    return FIRST_PASSED if ours and environment.get("LISTEN_FDS", "0") != "0" else None
+
+
 def address(text: str) -> Address:
     host, colon, port = str(text).rpartition(":")
     if not colon or not host or not port.isdigit() or not 0 <= int(port) < 65536:
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -30,7 +30,7 @@
     write_head,
 )
 from whinrouter.net.routes import Routes
-from whinrouter.net.sockets import age, end, left, reset, unread
+from whinrouter.net.sockets import acknowledged, age, end, left, reset, unread
 from whinrouter.operations.presence import Presence
 from whinrouter.ownlimit import OwnLimit
 from whinrouter.streaming.flow import FLOOR, GRACE, Flow
@@ -142,7 +142,7 @@
     def ready(self) -> bool:
         return self.gateway.has_list and self.presence.up
 
-    def retune(self, settings: Settings, limit: int) -> None:
+    def retune(self, settings: Settings, limit: int, routes: Routes | None = None) -> None:
         """Go by other settings. What clients have sent by the old ones still comes in for a while."""
         fresh = {kind.name.encode(): kind for kind in settings.classes}
         until = self._loop.time() + max(kind.deadline for kind in self._classes.values()) / SECOND
@@ -150,6 +150,7 @@
             name: (kind, until) for name, kind in self._classes.items() if fresh.get(name) != kind
         }
         self._classes, self._advises, self.limit = fresh, settings.retry_after, limit
+        self._routes = routes
         self.own.retune(kind.aim / SECOND for kind in settings.classes)
 
     def close_listener(self) -> None:
@@ -375,8 +376,9 @@
         if reader.size or self._counted or len(self._queued) > 1:  # else all of it begins now, or is idle
             self._count()
         if reader.error is not None:
-            if self._out is not None:  # a part of an answer has gone out: there is no other
-                self.drop()
+            if self._out is not None:  # a part of an answer has gone out, and the rest of it is due
+                self._stop_reading()
+                self._close = True
             else:
                 self._reject(reader.error.status)
         elif len(self._queued) > MAX_QUEUED or self._front.overfull:
@@ -468,6 +470,9 @@
         if self._transport is not None:
             reset(self._transport)
 
+    def taken(self) -> int:
+        return acknowledged(self._transport) if self._transport is not None else -1
+
     def stuck(self, now: float) -> bool:
         """Whether a body on its way is not moved, or one that nobody wants still comes."""
         return any(flow.overdue(now) for flow in (self._in, self._out) if flow is not None) or (
@@ -477,6 +482,7 @@
     def give_up(self) -> None:
         """The client does not send its body, or take its answer, or the host does not give it."""
         self._front.streaming.discard(self)
+        log.warning("a body is not moved any more: to the client %s, from it %s", self._out, self._in)
         if self._out is None and self._in is not None and not self._quit:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -136,8 +136,9 @@
         """How many requests are owed an answer."""
         return sum(held.reply is not None for held in self._held.values())
 
-    def retune(self, settings: Settings) -> None:
+    def retune(self, settings: Settings, attempt_time: int = 0) -> None:
         """The module goes on by other settings."""
+        self._attempt_time = attempt_time
         self._balancer.retune(settings)
 
     def learnt(self) -> Learnt:
@@ -278,7 +279,7 @@
         number = len(held.sent)
         held.sent.append(None)
         until = min(expires, held.deadline) if expires else held.deadline
-        if self._attempt_time:
+        if self._attempt_time and not held.comes:
             until = min(until, now + self._attempt_time)
         attempt = None
         if held.reply is not None and until > now:  # no attempt leaves after the final answer
--- a/whinrouter/net/http.py
+++ b/whinrouter/net/http.py
@@ -18,7 +18,7 @@
 MAX_HEAD = 16 * 1024  # more than any browser sends; what has no end is noticed early
 # Bytes of framing: chunks' lengths and extensions, trailers. A body may come in chunks of one byte, each with
 # some extension; what is all framing and no body is no message.
-MAX_FRAMING, FRAMING_A_BYTE = 64 * 1024, 32
+MAX_FRAMING, FRAMING_A_BYTE = 64 * 1024, 256
 
 # One for all reads; asyncio would otherwise allocate 256 KiB for each.
 _BUFFER = memoryview(bytearray(64 * 1024))
--- a/whinrouter/net/sockets.py
+++ b/whinrouter/net/sockets.py
@@ -12,6 +12,7 @@
 
 _TCP_INFO = getattr(socket, "TCP_INFO", None) if sys.platform == "linux" else None
 _LAST_RECEIVED, _INFO_SIZE = 52, 56  # the field's place in struct tcp_info, and the end of what is read
+_ACKED = 120  # the place of tcpi_bytes_acked, of 8 bytes
 _GONE = getattr(select, "POLLRDHUP", select.POLLHUP)
 
 
@@ -51,6 +52,20 @@
     return int.from_bytes(told[_LAST_RECEIVED:_INFO_SIZE], sys.byteorder) / 1000
 
 
+def acknowledged(transport: asyncio.BaseTransport) -> int:
+    """Bytes that the peer's machine has acknowledged since the start; -1 where the system does not tell.
+
+    It is tcpi_bytes_acked. What its program does not read is acknowledged up to the size of its buffer alone.
+    """
+    if _TCP_INFO is None:
+        return -1
+    try:
+        told: bytes = transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, _TCP_INFO, _ACKED + 8)
+    except (OSError, AttributeError):
+        return -1
+    return int.from_bytes(told[_ACKED : _ACKED + 8], sys.byteorder) if len(told) == _ACKED + 8 else -1
+
+
 def left(transport: asyncio.BaseTransport) -> bool:
     """Whether the peer has ended its side, though bytes of it may wait unread before that end."""
     poll = select.poll()
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -14,7 +14,7 @@
 from whinrouter.net.connect import connect
 from whinrouter.net.hosts import Member
 from whinrouter.net.http import LAST_CHUNK, Message, Reading, ResponseReader, chunk
-from whinrouter.net.sockets import age, poller
+from whinrouter.net.sockets import acknowledged, age, poller
 from whinrouter.streaming.flow import STALL, Flow
 
 log = logging.getLogger(__name__)
@@ -102,6 +102,9 @@
         if self._attempt is not None:
             self._attempt.stop(Outcome.CANCELLED)
 
+    def taken(self) -> int:
+        return acknowledged(self._transport) if self._transport is not None else -1
+
     def pause_writing(self) -> None:
         self.written = False
         if self._body is not None:
--- a/whinrouter/operator/checks.py
+++ b/whinrouter/operator/checks.py
@@ -59,6 +59,21 @@
         yield _at(loaded, "app.pid_file", "no-effect", reason, 'Set app.when_gone to "close" or "exit".')
 
 
+def control(loaded: Loaded) -> Iterator[Finding]:
+    told, key = loaded.model.listen, "listen.control"
+    address = told.control
+    if address is None:
+        return
+    if address.path or not address.loopback:
+        reason = f"{address} is no port of loopback: whoever reaches it can empty the sidecar."
+        yield _at(loaded, key, "not-loopback", reason, "Take calls on 127.0.0.1 or [::1].")
+    elif address.port < PRIVILEGED:
+        reason = f"Ports below {PRIVILEGED} need a privilege that a sidecar has not."
+        yield _at(loaded, key, "privileged-port", reason, f"Choose one from {PRIVILEGED} on.")
+    elif address == told.address or address.port in loaded.model.app.ports:
+        yield _at(loaded, key, "port-taken", f"{address} is taken already.", "Choose another port.")
+
+
 def listen(loaded: Loaded) -> Iterator[Finding]:
     address, key = loaded.model.listen.address, "listen.address"
     if address is None:
@@ -335,7 +350,7 @@
         yield _at(loaded, "upstream.idle_time", "zero", "This is no time at all.", "Set it above 0.")
 
 
-CHECKS: tuple[Check, ...] = (app, listen, discovery, classes, effects, catalogue, limits)
+CHECKS: tuple[Check, ...] = (app, listen, control, discovery, classes, effects, catalogue, limits)
 
 
 def check(loaded: Loaded) -> list[Finding]:
--- a/whinrouter/operator/explain.py
+++ b/whinrouter/operator/explain.py
@@ -15,7 +15,19 @@
 from whinrouter.operator.model import RequestClass
 
 # What a running sidecar takes over when it reads its file again; all else waits for the next start.
-RELOADED = ("discovery.hosts", "discovery.file", "discovery.address", "app.owner")
+RELOADED = (
+    "discovery.hosts",
+    "discovery.file",
+    "discovery.address",
+    "app.owner",
+    "upstream.attempts",
+    "upstream.attempt_time",
+    "upstream.connect_time",
+    "upstream.hedge",
+    "upstream.idle_time",
+    "upstream.retry_after",
+)
+RELOADED_TABLES = ("class.", "class_defaults.")
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,13 +104,18 @@
         return f"{self.key}: {old} -> {new}{' (needs a restart)' if self.restart else ''}"
 
 
+def reloaded(key: str) -> bool:
+    """Whether a sidecar takes another value of it while it runs, on SIGHUP."""
+    return key in RELOADED or key.startswith(RELOADED_TABLES)
+
+
 def changes(old: Loaded, new: Loaded) -> list[Change]:
     """What differs in behaviour; how it is spread over files does not count."""
     before = {one.key: one.value for one in effective(old)}
     after = {one.key: one.value for one in effective(new)}
     keys = [*before, *(key for key in after if key not in before)]
     return [
-        Change(key, before.get(key), after.get(key), key not in RELOADED)
+        Change(key, before.get(key), after.get(key), not reloaded(key))
         for key in keys
         if before.get(key) != after.get(key)
     ]
--- a/whinrouter/operator/host.py
+++ b/whinrouter/operator/host.py
@@ -70,7 +70,32 @@
     by_port: dict[int | str, list[tuple[Loaded, Address]]] = {}
     for loaded, address in known:
         by_port.setdefault(address.path or address.port, []).append((loaded, address))
-    return [*_same_port(by_port), *_app_ports(loads, by_port), *_same_app(loads), *_loops(by_port, known)]
+    calls = _calls(loads, by_port)
+    return [
+        *_same_port(by_port),
+        *calls,
+        *_app_ports(loads, by_port),
+        *_same_app(loads),
+        *_loops(by_port, known),
+    ]
+
+
+def _calls(loads: list[Loaded], by_port: Mapping[int | str, list[tuple[Loaded, Address]]]) -> list[Finding]:
+    """Addresses for calls that another sidecar takes, for calls or for its application."""
+    findings = []
+    seen: dict[int, list[tuple[Loaded, Address]]] = {}
+    for loaded in loads:
+        address = loaded.model.listen.control
+        if address is None or address.path:
+            continue
+        claims = [*by_port.get(address.port, ()), *seen.get(address.port, ())]
+        first = next((who for who, known in claims if who is not loaded and overlap(known, address)), None)
+        if first is not None:
+            place, reason = loaded.place(("listen", "control")), f"{address} is claimed by {first.path} too."
+            todo = "Give each its own."
+            findings.append(Finding(place, "listen.control", "same-port", reason, todo))
+        seen.setdefault(address.port, []).append((loaded, address))
+    return findings
 
 
 def _real(address: Address | None) -> Address | None:
--- a/whinrouter/operator/model.py
+++ b/whinrouter/operator/model.py
@@ -70,6 +70,8 @@
     """Where the application reaches its sidecar."""
 
     address: Address | None = None
+    control: Address | None = None  # where operators call; none: nowhere
+    inherited: bool = False  # the socket comes with the process, as by socket activation
 
 
 class Discovery(Struct, forbid_unknown_fields=True):
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -37,6 +37,7 @@
 
 RESERVED = 40  # descriptors for all that is no client's and no host's connection, or not counted yet
 STILL_ACCEPTING = 0.5  # seconds for which connections go on coming after SIGTERM
+STREAMS_END = 300.0  # seconds for bodies that are passed on at the end: 32 MB at 107 kB/s
 LAG_STEP, LAG_SHOWN = 0.1, 0.05
 # New objects between two looks of the collector. What a request makes is freed as it ends, and cycles are
 # rare: with Python's own 700 it cost up to a tenth of all CPU.
@@ -74,6 +75,8 @@
     idle_time: float  # seconds
     clients: int  # connections of clients at most
     connections: int  # connections to hosts at most
+    routes: Routes | None = None
+    attempt_time: int = 0  # microseconds; 0: what is left
 
 
 Retune = Callable[[Tuning], None]
@@ -200,8 +203,8 @@
 ) -> None:
     """All of it or, as it has been checked, nothing: no request comes between."""
     upstream.retune(to.connect_time, to.idle_time, to.connections)
-    gateway.retune(to.settings)
-    frontend.retune(to.settings, to.clients)
+    gateway.retune(to.settings, to.attempt_time)
+    frontend.retune(to.settings, to.clients, to.routes)
     if succession is not None:
         succession.retune(to.clients + to.connections)
     log.info("settings: %s", ", ".join(kind.name for kind in to.settings.classes))
@@ -296,6 +299,16 @@
         async with asyncio.timeout(longest):
             while frontend.connections:
                 await asyncio.sleep(0.01)
+        return
+    except TimeoutError:
+        pass
+    try:  # what is passed on is its host's and its client's to end, as long as they move it
+        async with asyncio.timeout(STREAMS_END):
+            while frontend.streaming:
+                await asyncio.sleep(0.01)
+        if not frontend.connections:
+            return
+        raise TimeoutError
     except TimeoutError:
         log.warning("%d connections were still open at the exit", len(frontend.connections))
 
--- a/whinrouter/sidecar.py
+++ b/whinrouter/sidecar.py
@@ -7,11 +7,12 @@
 import resource
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 
 from whinrouter.interface import SECOND, Effect, RequestClass, Scope, Settings
-from whinrouter.net.config import ConfigError
+from whinrouter.net.config import ConfigError, inherited
 from whinrouter.net.discovery import Discovery
 from whinrouter.net.hostfile import HostFile, listed
 from whinrouter.net.hosts import HostList
@@ -21,7 +22,7 @@
 from whinrouter.operator.explain import changes
 from whinrouter.operator.loading import Loaded, load
 from whinrouter.operator.values import Address
-from whinrouter.program import Beside, Hosts, Plan, Retune, log_to_stderr, serve
+from whinrouter.program import Beside, Hosts, Plan, Retune, Tuning, log_to_stderr, serve
 
 log = logging.getLogger("whinrouter")
 
@@ -125,6 +126,8 @@
         attempt_time=int(upstream.attempt_time),
         buffered=int(limits.buffered),
         beside=beside,
+        control=_pair(model.listen.control) if model.listen.control is not None else None,
+        listener=inherited(os.environ) if model.listen.inherited else None,
     )
 
 
@@ -174,25 +177,41 @@
 
 
 class _Reload:
-    """On SIGHUP: check the file again; take over its hosts, and tell what waits for a restart."""
+    """On SIGHUP: check the file again; take what may change, and tell what waits for a restart."""
 
     def __init__(self, loaded: Loaded) -> None:
-        self._loaded = loaded
+        self._started = self._last = loaded
 
     def __call__(self, hosts: Hosts, retune: Retune) -> None:
-        fresh = load(Path(self._loaded.path), Path(self._loaded.root))
+        fresh = load(Path(self._started.path), Path(self._started.root))
         findings = check(fresh)
         if findings:
             log.error("reload: refused; going on with what is in force\n%s", "\n".join(map(str, findings)))
             return
-        waiting = [str(change) for change in changes(self._loaded, fresh) if change.restart]
+        waiting = [str(change) for change in changes(self._started, fresh) if change.restart]
         if waiting:
             log.warning("reload: for the next start\n%s", "\n".join(waiting))
-        self._take(fresh.model.discovery, hosts)
-
-    def _take(self, fresh: told.Discovery, hosts: Hosts) -> None:
-        was = self._loaded.model.discovery
-        if fresh.source is not was.source:
+        news = {change.key for change in changes(self._last, fresh) if not change.restart}
+        last, self._last = self._last, fresh
+        self._follow(last.model.discovery, fresh.model.discovery, hosts)
+        if any(key.startswith(("class", "upstream.")) for key in news):
+            retune(self._tuning(fresh.model))
+
+    def _tuning(self, fresh: told.Model) -> Tuning:
+        """What is in force from now on; limits and the zone are those of the start."""
+        started = self._started.model
+        return Tuning(
+            replace(settings(fresh), zone=started.discovery.zone),
+            fresh.upstream.connect_time / SECOND,
+            fresh.upstream.idle_time / SECOND,
+            started.limits.clients,
+            started.upstream.connections,
+            routes(fresh),
+            int(fresh.upstream.attempt_time),
+        )
+
+    def _follow(self, was: told.Discovery, fresh: told.Discovery, hosts: Hosts) -> None:
+        if fresh.source is not self._started.model.discovery.source:
             return  # told already: it waits for the next start
         if isinstance(hosts, _StaticHosts) and fresh.hosts != was.hosts:
             hosts.change(fresh.hosts)
@@ -200,4 +219,3 @@
             hosts.move(fresh.file)
         elif isinstance(hosts, Discovery) and fresh.address is not None and fresh.address != was.address:
             hosts.move(_pair(fresh.address))
-        was.hosts, was.file, was.address = fresh.hosts, fresh.file, fresh.address
--- a/whinrouter/streaming/flow.py
+++ b/whinrouter/streaming/flow.py
@@ -55,6 +55,9 @@
     def cut(self) -> None:
         """The rest will not come: end so that the reader can tell."""
 
+    def taken(self) -> int:
+        """Bytes that its reader has had by now; -1 if nobody can tell."""
+
 
 class Stage(Enum):
     """How far a body is."""
@@ -83,6 +86,11 @@
         self._held = False  # the source reads no more
         self._grace, self._floor = grace, floor
         self._due = now + grace
+        self._taken = -1  # what the sink's reader had when that was last looked at
+
+    def __repr__(self) -> str:
+        gone = "all here" if self.came else "to come"
+        return f"{self.stage.value}, {gone}, {'full' if self._full else 'open'}, {self._size} bytes held"
 
     def put(self, data: bytes, now: float) -> None:
         """The source has read this."""
@@ -183,4 +191,14 @@
         if self.stage in (Stage.ENDED, Stage.BROKEN):
             return False
         # Of one that is here as a whole nobody owes anything but a sink that has enough.
-        return now >= self._due and (self._full or not self.came)
+        if now < self._due or (self.came and not self._full):
+            return False
+        if not self._full or self._sink is None:
+            return True
+        # The system takes more only once a good part of what it holds is gone, some megabytes: a reader of
+        # 64 kB a second took longer over that than STALL, and was cut off though it read all the time.
+        before, self._taken = self._taken, self._sink.taken()
+        if self._taken <= before:
+            return True
+        self._due = now + STALL
+        return False
