--- a/whinrouter/net/http.py
+++ b/whinrouter/net/http.py
@@ -110,6 +110,8 @@
         self._body: bytes | bytearray = b""
         self._in_head = False
         self._sent = 0  # bytes of a body that is passed on
+        self._newer = True  # the message that comes is not of HTTP/1.0
+        self._told = False  # how long its body is, in whichever way
         self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser
 
     def feed(self, data: bytes | memoryview) -> list[Message]:
@@ -168,6 +170,7 @@
         self.count += 1
         self._target, self._headers, self._body = b"", [], b""
         self._framing, self._length, self._until_end, self.rest = 0, None, False, None
+        self._told = False
         self._sent = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -179,13 +182,15 @@
         # The read may hold a message before this one, which took the count of bytes back to nothing.
         if max(self.size, self._read) > MAX_HEAD and self._head_size() > MAX_HEAD:
             raise BadMessageError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
-        if self._parser.get_http_version() not in _VERSIONS:
+        version = self._parser.get_http_version()
+        self._newer = version != "1.0"
+        if version not in _VERSIONS:
             raise BadMessageError(HTTPStatus.HTTP_VERSION_NOT_SUPPORTED, "this is not HTTP/1")
         self._framing = 0  # the head has its own bound; what follows it in this read is counted from here
         told = [header for header in self._headers if header[0] in _READ_HERE]
         if told:
             framing = [(name, value.strip().lower()) for name, value in told if name in _FRAMING]
-            self._length = _length(framing)
+            self._length, self._told = _length(framing), bool(framing)
             self.waits_for_leave = any(value.strip().lower() == b"100-continue" for _, value in told)
             if self._length is not None and self._length > MAX_BODY:
                 self._give_out()
@@ -205,7 +210,8 @@
         return len(self._target) + sum(len(name) + len(value) for name, value in self._headers)
 
     def on_body(self, data: bytes) -> None:
-        self._framing = max(0, self._framing - FRAMING_A_BYTE * len(data))
+        if self._framing > 0:
+            self._framing -= FRAMING_A_BYTE * len(data)
         if self.rest is not None:
             self._put(data)
             return
@@ -239,7 +245,7 @@
     def _message(self, method: bytes, status: int, body: bytes, rest: Flow | None) -> None:
         keep_alive = self._parser.should_keep_alive()
         message = Message(method, self._target, status, self._headers, body, keep_alive)
-        message.rest, message.newer = rest, self._parser.get_http_version() != "1.0"
+        message.rest, message.newer = rest, self._newer
         self._messages.append(message)
 
 
@@ -311,8 +317,7 @@
             self._message(b"", status, b"", None)
             return
         super().on_headers_complete()
-        told = any(name in _FRAMING for name, _ in self._headers)
-        self._until_end = status >= 200 and status not in (204, 304) and not told
+        self._until_end = not self._told and status >= 200 and status not in (204, 304)
 
     def on_body(self, data: bytes) -> None:
         if not self.bare:
