Write nothing behind the final answer to a large body that is refused while it comes

At fault in net/frontend.py: a body that asks for leave (Expect: 100-continue) and is refused at once got its 503, and then _note_begun, which looks at whether a request is in work, wrote 100 Continue behind it. The same way out stood open for noise in such a body: _reject wrote 400.

Once an answer is out and the rest of a body is read to be dropped, nothing more is written: no leave, no rejection. Three cases of it are a test, of which two fail without the change.

--- a/tests/streaming/test_bodies.py
+++ b/tests/streaming/test_bodies.py
@@ -364,3 +364,29 @@
         for _, writer in clients:
             writer.transport.abort()
         await until(lambda: not scene.proxy.frontend.connections)
+
+
+@pytest.mark.parametrize(
+    ("more", "body"),
+    [
+        (b"\r\nExpect: 100-continue\r\n\r\n", b""),  # the leave to go on must not come behind the answer
+        (b"\r\n\r\n", PIECE),
+        (b"\r\nTransfer-Encoding: chunked\r\n\r\n", b"20000\r\n" + PIECE + PIECE + b"\r\nnoise\r\n"),
+    ],
+    ids=["asks for leave", "sends on", "sends noise"],
+)
+@scenario
+async def test_an_order_refused_at_once_gets_one_answer_and_no_more(more: bytes, body: bytes) -> None:
+    """There is no host; what the client still sends, be it good or not, causes nothing."""
+    async with between() as scene:
+        reader, writer = await open_client(scene)
+        text = order(1024 * 1024).replace(b"\r\n\r\n", more)
+        if b"chunked" in more:
+            text = text.replace(b"Content-Length: %d\r\n" % (1024 * 1024), b"")
+        writer.write(text + body)
+        async with asyncio.timeout(GENEROUS):
+            said = await reader.readuntil(b"\r\n\r\n")
+            with contextlib.suppress(ConnectionError):
+                said += await reader.read()
+        assert said.startswith(b"HTTP/1.1 503")
+        assert said.count(b"HTTP/1.1") == 1
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -376,7 +376,9 @@
         if reader.size or self._counted or len(self._queued) > 1:  # else all of it begins now, or is idle
             self._count()
         if reader.error is not None:
-            if self._out is not None:  # a part of an answer has gone out, and the rest of it is due
+            if self._quit:  # its answer is out: what it was to is no matter any more
+                self._part()
+            elif self._out is not None:  # a part of an answer has gone out, and the rest of it is due
                 self._stop_reading()
                 self._close = True
             else:
@@ -494,7 +496,7 @@
         self._counted = held
 
     def _note_begun(self, came: int) -> None:
-        if self._busy or not self._requests.began:
+        if self._busy or self._quit or not self._requests.began:
             return
         now = self._loop.time()
         if self._requests.count > self._begun:
