Divide what cold hosts may get among a gateway's own hosts; believe no wait that can't be

At fault in balance.py: _refill divided a gateway's traffic by the warmth of all hosts, while that traffic goes to its slice of them (_subset): at two slices a cold host got half of its share, at eight an eighth. It is divided among its own hosts, and others' cold hosts are no stand-ins.

The door knows when it last looked: what was not there then has not waited longer, and a word that says so is not believed.

Tests in test_subset.py and test_door.py fail without.

--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -82,3 +82,83 @@
     for client in here.clients:
         client.recv(1)
     assert here.told() == [here.listener]  # with nothing else to do, to wait would be to spin
+
+
+class Line:
+    """A connection that a door looks at, with an age that the system counts."""
+
+    def __init__(self, stack: ExitStack, door: Door) -> None:
+        listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+        self.there = stack.enter_context(socket.create_connection(listener.getsockname()))
+        self.here = stack.enter_context(listener.accept()[0])
+        door.register(self.here, selectors.EVENT_READ)
+
+    def get_extra_info(self, name: str) -> socket.socket:
+        assert name == "socket"
+        return self.here
+
+
+def _lay(door: Door, line: Line, first: bool = False) -> float:
+    return door.lay(line, first)  # type: ignore[arg-type]
+
+
+WAIT = 0.1
+
+
+def test_what_waited_here_between_two_looks_is_known(stack: ExitStack) -> None:
+    door = Door(OwnLimit([0.4]))
+    stack.callback(door.close)
+    line = Line(stack, door)
+    assert door.select(0) == []
+    line.there.send(b"x")
+    time.sleep(WAIT)
+    assert len(door.select(0)) == 1
+    assert _lay(door, line) >= WAIT / 2
+
+
+def test_what_was_not_here_at_the_last_look_has_not_waited_longer(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A process whose clock goes at a hundredth of the system's, as one that is run in step with others."""
+    monotonic = time.monotonic
+    monkeypatch.setattr(time, "monotonic", lambda: monotonic() / 100)
+    door = Door(OwnLimit([0.4]))
+    stack.callback(door.close)
+    line = Line(stack, door)
+    for _ in range(10):
+        assert door.select(0) == []
+    line.there.send(b"x")
+    time.sleep(WAIT)
+    assert len(door.select(0)) == 1
+    assert _lay(door, line) == 0.0
+    assert _lay(door, line, first=True) == 0.0
+
+
+def test_a_look_that_holds_something_back_does_not_tell_how_long_it_waits(stack: ExitStack) -> None:
+    here = Sockets(stack, clients=2 * READS_A_TURN)
+    line = Line(stack, here.door)
+    here.door.clients.add(line.here.fileno())
+    here.told()
+    line.there.send(b"x")
+    time.sleep(4 * WAIT)  # so that intervals in which requests waited have passed
+    here.at_limit()
+    for _ in range(4):  # the others come first
+        assert line.here not in here.told()
+    here.own.reached = False
+    here.told()
+    assert _lay(here.door, line) >= WAIT / 2
+
+
+def test_the_first_on_a_connection_may_have_waited_to_be_accepted(stack: ExitStack) -> None:
+    door = Door(OwnLimit([0.4]))
+    stack.callback(door.close)
+    line = Line(stack, door)
+    assert door.select(0) == []
+    door.unregister(line.here)
+    line.there.send(b"x")
+    time.sleep(WAIT)
+    for _ in range(3):  # it is accepted, set up and registered
+        door.select(0)
+    door.register(line.here, selectors.EVENT_READ)
+    assert len(door.select(0)) == 1
+    assert _lay(door, line, first=True) >= WAIT / 2
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from whinrouter.balance import FAN_IN
-from whinrouter.interface import MS, SECOND, Settings
+from whinrouter.interface import MS, SECOND, Server, Settings
 
 from .helpers import CLASSES, Driver
 
@@ -53,3 +53,29 @@
         driver.end(sent)
         driver.now += SECOND
     assert 15 < used.count(1) < 45
+
+
+def test_cold_servers_are_warmed_by_the_balancers_whose_own_they_are() -> None:
+    """Each balancer's traffic goes to its slice; divided among all servers, it left the cold ones idle.
+
+    Half of the servers are cold and can do half: a third of what all can do is theirs, and they carry nine
+    tenths of that at least, from the first request on.
+    """
+    balancers, count = 4 * FAN_IN, 48
+    options = {"balancers": balancers, "cold_share": 0.5, "ramp_time": 1000 * SECOND}
+    sent: Counter[int] = Counter()
+    senders: dict[int, set[int]] = {}
+    for rank in range(balancers):
+        driver = Driver(Settings(CLASSES, rank=rank, **options), 0)  # type: ignore[arg-type]
+        cold = {number: driver.now if number % 2 else 0 for number in range(1, count + 1)}
+        driver.list_servers([Server(number, started=at) for number, at in cold.items()])
+        for _ in range(200):
+            server = driver.serve(taken=10 * MS).server
+            driver.now += 40 * MS
+            sent[server] += 1
+            senders.setdefault(server, set()).add(rank)
+    work = sum(sent.values())
+    assert sum(sent[server] for server in sent if server % 2) >= 0.9 * work / 3
+    allowed = 4.0 * 0.5 / (0.75 * count) * work
+    assert all(sent[server] <= allowed for server in sent if server % 2)
+    assert all(len(senders[server]) <= FAN_IN for server in sent if server % 2)
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -70,7 +70,8 @@
         self._warm: dict[str, float] = {}  # servers of each kind, counted by warmth
         self._summed = -SUM_EVERY
         self._shed = Shedding(settings)
-        self._order: list[Host] = []  # for drawing at random
+        self._order: list[Host] = []  # its own, for drawing at random
+        self._mine: set[Host] = set()  # likewise, for looking up
         self._crowded = False  # so many balancers that one's part of a host may be less than a request
         self._out, self._limits = 0, 0.0  # sums over the hosts, counted anew with each list
         self._here: list[Host] = []  # those of them in this balancer's zone
@@ -167,6 +168,7 @@
     def _arrange(self, met: list[Host]) -> None:
         self._allot(met)
         self._order, self._spill = self._subset()
+        self._mine = set(self._order)
         self._here = [host for host in self._order if host.info.zone == self._settings.zone]
 
     def _allot(self, met: list[Host]) -> None:
@@ -213,11 +215,12 @@
     def _refill(self, host: Host, cost: float, now: int) -> None:
         """Give a cold server its share, by present capacity, of the work that its kind did lately.
 
-        Work asked for would not do: retries swell it. Each balancer's shares follow its own traffic.
+        Work asked for would not do: retries swell it. Each balancer's shares follow its own traffic, which
+        goes to its own servers: they are the whole that it is divided among.
         """
         if now >= self._summed + SUM_EVERY:
             self._warm = {}
-            for other in self._hosts.values():
+            for other in self._order:
                 kind = other.info.kind
                 self._warm[kind] = self._warm.get(kind, 0.0) + self._warmth(other, now)
             self._summed = now
@@ -339,6 +342,8 @@
             return False
         if not host.info.started or self._warmth(host, now) == 1:
             return True
+        if host not in self._mine:  # those whose own it is warm it; what others sent would come on top
+            return False
         self._refill(host, self._cost(pending), now)
         return host.allowance >= self._cost(pending)
 
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -313,6 +313,7 @@
         self._crowded = False  # it sent too much ahead
         self._unread = False  # the client does not take what was written to it
         self._descriptor = -1
+        self._silent = True  # nothing has come yet
         self._begun = 1  # the message whose time to come runs: the first, from the connection's start
         self._bodied = 0  # the message whose body has begun
         self._counted = 0  # its part of what all have buffered
@@ -392,7 +393,8 @@
     def _came(self, data: memoryview) -> float | None:
         """The loop time at which these bytes were here; None if nothing more is to be done with them."""
         assert self._transport is not None
-        now, waited = self._loop.time(), age(self._transport)
+        first, self._silent, door = self._silent, False, self._front.door
+        now, waited = self._loop.time(), door.lay(self._transport, first) if door else age(self._transport)
         begins = not (self._busy or self._queued or self._requests.began)
         if begins and self._front.own.waited(waited, now) and self._turn_away_unread(data):
             return None
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -196,7 +196,7 @@
         attempt.connection = None
         now = self._pool.now()
         if self._transport is not None and now - attempt.started > QUICK:
-            attempt.waited = min(age(self._transport), now - attempt.started)
+            attempt.waited = min(self._pool.lay(self._transport), now - attempt.started)
         self._keep(answer.keep_alive and clean)
         attempt.end(_outcome(answer), answer)
 
@@ -251,8 +251,16 @@
 class Upstream:
     """The hosts, and the connections to them."""
 
-    def __init__(self, connect_time: float, idle_time: float, limit: int) -> None:
+    def __init__(
+        self,
+        connect_time: float,
+        idle_time: float,
+        limit: int,
+        lay: Callable[[asyncio.Transport], float] = age,
+    ) -> None:
+        """`lay`: for how many seconds what is read now lay here unread."""
         self._connect_time = connect_time
+        self.lay = lay
         self.idle_time = max(idle_time / 2, idle_time - IDLE_MARGIN)
         self.limit = limit  # connections at most
         self._connecting = 0
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -117,7 +117,7 @@
 
 
 async def _serve(plan: Plan, door: Door) -> None:
-    upstream = Upstream(plan.connect_time, plan.idle_time, plan.connections)
+    upstream = Upstream(plan.connect_time, plan.idle_time, plan.connections, door.lay)
     gateway = Gateway(Balancer(plan.settings, plan.seed), upstream, plan.attempt_time)
     frontend = Frontend(gateway, plan.settings, plan.clients, door, plan.routes, plan.buffered)
     stop = asyncio.Event()
