Limits of many gateways as a pool, cold hosts' part at 0.6, and draws by what was learnt

Lines at fault: host.py, LEAST_FIRST_LIMIT and LEAST_LAST_LIMIT (40 and 10 at a host, whatever is used), widen (an answer in time doubled a limit below one), RECALL (half a second); balance.py, COLD_PART (0.4 of the least that a host can do), _candidates.

Now: of many gateways each starts with a quarter at a host and keeps one request in all; limits grow while half of their sum is used, by a tenth for 10 s after a cut; hosts are drawn by their part of the limits and the pace of their kind; a pace is kept for four answers of each host; cold hosts get 0.6. Few gateways keep their way but for the pace and the 0.6.

--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -12,7 +12,9 @@
 from random import Random
 
 from whinrouter.breaker import Breaker
-from whinrouter.host import FIRST_LIMIT, LAST_LIMIT, LEAST_FIRST_LIMIT, LEAST_LAST_LIMIT, Host
+from whinrouter.host import (
+    FIRST_LIMIT, LAST_LIMIT, LEAST_FIRST_LIMIT, RECALL, RECALL_ANSWERS, Host,
+)  # fmt: skip
 from whinrouter.interface import (
     SECOND, Action, Attempt, AttemptEnded, Cancel, Effect, Event, Fail, Outcome, Pending,
     Refuse, Request, RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId, ServerList,
@@ -38,10 +40,14 @@
 EXTRA_SHARE = 0.1  # retry budget: attempts past the fallback, and hedges, for each request on average
 EXTRA_BURST = 20.0  # saved up at most, by all balancers together
 STEP = 1.04  # by which the usual time follows each answer
+PACE_STEP = 1.02  # and the pace of a kind, which all of its servers share
+GAP_STEP = 0.05  # and the mean time between two answers
 
 RATE_WINDOW = 2 * SECOND  # over which the work that servers did is averaged
 SUM_EVERY = 100_000  # not at every look: with a hundred cold servers that overran the CPU share
-COLD_PART = 0.4  # of what would push a cold server over
+# Of what would push a cold server over. With the least that it can do told, and no more, the cold half of a
+# fleet did a quarter of what it could at 0.4, and the warm half stood in a queue for the rest.
+COLD_PART = 0.6
 COLD_BURST = 300_000  # a cold server's allowance is saved up for this long at most
 
 # A time-out is none: the client's own limit cut it short. Being late is judged before, by peers.
@@ -79,6 +85,8 @@
         self._patience: dict[str, int] = {}  # the longest time a client has left to its first try, by class
         self._usual: dict[str, float] = {}  # median time of an answer by class, for each unit of cost
         self._typical: dict[str, float] = {}  # likewise, whatever the cost
+        self._paces: dict[str, float] = {}  # median time of an answer of a kind of server, against the usual
+        self._gap, self._heard = 0.0, 0  # mean time between two answers, and when the last one came
         self._marks: dict[str, float] = {}  # by class, the multiple of it after which an attempt is late
 
     def handle(self, event: Event, now: int) -> list[Action]:
@@ -176,7 +184,7 @@
         whole = sum(host.size for host in self._hosts.values())
         for host in self._hosts.values():
             part = host.size * len(self._hosts) / whole / self._settings.balancers
-            host.least = max(LEAST_LAST_LIMIT, LAST_LIMIT * part)
+            host.least = max(1 / len(self._hosts), LAST_LIMIT * part)
             if host in met:
                 host.limit = max(LEAST_FIRST_LIMIT, FIRST_LIMIT * part)
         self._crowded = any(host.least < 1 for host in self._hosts.values())
@@ -305,12 +313,15 @@
         fallback = self._hosts.get(pending.fallback) if pending.fallback is not None else None
         if fallback and fallback.info.id not in tried and self._admits(fallback, pending, now):
             return fallback
+        recall = max(RECALL, RECALL_ANSWERS * self._gap * len(self._order))
         first = None
         for host in self._candidates(pending.request.key):
             if host is first or host.info.id in tried or not self._admits(host, pending, now):
                 continue
             if first is not None:
-                first, second = (host, first) if host.busy(now) < first.busy(now) else (first, host)
+                first, second = (
+                    (host, first) if host.busy(now, recall) < first.busy(now, recall) else (first, host)
+                )
                 pending.fallback = second.info.id
                 return first
             first = host
@@ -323,12 +334,29 @@
             yield from sorted(self._order, key=lambda host: _rank(key, host.info.id))
         if self._settings.cross_zone_price > 0:  # stay while servers here have room to spare
             near = [host for host in self._here if 2 * host.in_flight < host.limit]
-            yield from self._shuffled(near) if len(near) > 1 else ()
-        yield from self._shuffled(self._order)
+            yield from self._drawn(near) if len(near) > 1 else ()
+        yield from self._drawn(self._order)
         yield from self._spill
 
+    def _drawn(self, hosts: list[Host]) -> Iterator[Host]:
+        """In random order, worked out only as far as it is asked for.
+
+        Of many balancers each has one request at a server or none, which tells little of how busy it is. Its
+        part of the limits and the pace of its kind tell more: those with the most are likely first.
+        """
+        if not self._crowded:
+            yield from self._shuffled(hosts)
+            return
+        parts = {host: host.limit / self._paces.get(host.info.kind, 1.0) for host in hosts}
+        most, passed = max(parts.values(), default=0.0), []
+        for host in self._shuffled(hosts):
+            if self._random.random() * most < parts[host]:
+                yield host
+            else:
+                passed.append(host)
+        yield from passed
+
     def _shuffled(self, hosts: list[Host]) -> Iterator[Host]:
-        """In random order, worked out only as far as it is asked for."""
         random, count = self._random.random, len(hosts)
         for place in range(count):
             other = place + int(random() * (count - place))
@@ -434,6 +462,7 @@
     def _learn(self, host: Host, pending: Pending, attempt: Attempt, taken: int, now: int) -> None:
         """What an answer tells of its host's pace, of the usual time of its like, and of the work done."""
         name, cost = pending.kind.name, pending.request.cost or 1
+        self._learn_pace(host, taken / self._expected(pending), now)
         host.paced, host.pace = now, host.pace + 0.2 * (taken / self._expected(pending) - host.pace)
         if self._classes.get(name) is not pending.kind:  # its class has changed, or there is none any more
             self._count(host.info.kind, cost, now)
@@ -447,6 +476,14 @@
             self._typical[name] = max(1, typical * STEP if taken > typical else typical / STEP)
         self._count(host.info.kind, pending.request.cost or usual, now)
 
+    def _learn_pace(self, host: Host, stretch: float, now: int) -> None:
+        """How far apart answers are, and how long those of a kind of server take against the usual."""
+        if self._heard:
+            self._gap += GAP_STEP * (now - self._heard - self._gap)
+        self._heard, kind = now, host.info.kind
+        pace = self._paces.get(kind, 1.0)
+        self._paces[kind] = pace * PACE_STEP if stretch * self._warmth(host, now) > pace else pace / PACE_STEP
+
     def _learn_mark(self, pending: Pending, passed: bool) -> None:
         """Move the mark of its class to where `LATE` of all attempts pass it."""
         name = pending.kind.name
@@ -458,7 +495,10 @@
     ) -> None:
         before = host.limit
         if outcome is Outcome.OK and ended - pending.arrived <= self._room(pending):
-            host.widen()
+            if not self._crowded:
+                host.widen()
+            elif 2 * self._out >= self._limits - 2:
+                host.widen_pool(now)
         elif outcome not in NO_LOAD:
             host.narrow(attempt, now)
         self._limits += host.limit - before
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -9,16 +9,25 @@
 from whinrouter.interface import SECOND, Attempt, Outcome, RequestClass, Server
 from whinrouter.learnt import HostLearnt
 
-# Attempts that all balancers together may have in flight at a server of mean size that they have just met,
-# and each of them at least. All start together: with 8 for each of three, or 3 for each of eight, the first
-# seconds of a day filled hosts of two or three cores beyond what these recover from soon.
-FIRST_LIMIT, LEAST_FIRST_LIMIT = 10.0, 1.0
-# And what signs of overload leave to all together, and to each of them. Some answers are late on any host;
-# where two balancers share ten, and one has most of the traffic, one in flight from each is no load.
-# A quarter from each: the fewest servers that one keeps to, four, are then worth one request.
-LAST_LIMIT, LEAST_LAST_LIMIT = 5.0, 0.25
+# Attempts that all balancers together may have in flight at a server of mean size that they have just met.
+# All start together: with 8 for each of three, or 3 for each of eight, the first seconds of a day filled
+# hosts of two or three cores beyond what these recover from soon. And each of them at least: with a whole one
+# for each of forty nothing was bounded, and a quarter at each of its servers lets any of them begin.
+FIRST_LIMIT, LEAST_FIRST_LIMIT = 10.0, 0.25
+# And what signs of overload leave to all together. Some answers are late on any host; where two balancers
+# share ten, and one has most of the traffic, one in flight from each is no load. All servers of a balancer
+# are worth one request at least: with a quarter from each, forty balancers had ten at each server.
+LAST_LIMIT = 5.0
 BACK_OFF = 0.7  # by which each sign of overload cuts that limit
-RECALL = SECOND // 2  # a server's pace is remembered for this long
+# By which an answer in time widens a part of a pool that was cut lately. Against `BACK_OFF` the pool then
+# stands where one answer in four is late; when each doubled it, it grew until three in four were.
+WIDEN = 0.1
+WARY = (
+    10 * SECOND
+)  # for which a cut is remembered; it is a few times as long as answers that stood in a queue
+# A server's pace is remembered for this long, and for as long as so many answers of each server take to come:
+# one that meets a server every two seconds had always forgotten that it was slow.
+RECALL, RECALL_ANSWERS = SECOND // 2, 4
 IN_VAIN = {None, Outcome.TIMEOUT, Outcome.CANCELLED}  # out, or given up while it was
 
 
@@ -30,8 +39,8 @@
     refilled: int  # when its allowance was brought up to date
     allowance: float = 0.0  # work that may be sent while cold
     in_flight: int = 0
-    limit: float = LEAST_FIRST_LIMIT  # in flight at most, or one; grows with answers in time
-    least: float = LEAST_LAST_LIMIT  # below which it does not shrink
+    limit: float = 1.0  # in flight at most, or one; grows with answers in time
+    least: float = 1.0  # below which it does not shrink
     cut: int = 0  # when the limit was last cut
     pace: float = 1.0  # how long its answers take, as a multiple of the usual time
     paced: int = 0
@@ -53,9 +62,9 @@
         for name, state in learnt.classes.items():
             self.classes.setdefault(name, ClassBreaker(self.random)).resume(state)
 
-    def busy(self, now: int) -> float:
+    def busy(self, now: int, recall: float) -> float:
         """In flight by size and pace; a pace not seen again is forgotten, or it would last for ever."""
-        pace = 1 + (self.pace - 1) * max(0.0, 1 - (now - self.paced) / RECALL)
+        pace = 1 + (self.pace - 1) * max(0.0, 1 - (now - self.paced) / recall)
         return (self.in_flight + 1) * pace / self.size
 
     def of(self, kind: RequestClass) -> ClassBreaker:
@@ -73,6 +82,11 @@
         if 2 * self.in_flight >= self.limit - 2:
             self.limit += min(self.limit, 1 / self.limit)
 
+    def widen_pool(self, now: int) -> None:
+        """Likewise, where it counts as a part of a sum that is nearly reached (`Balancer._crowded`)."""
+        wary = self.cut and now - self.cut < WARY
+        self.limit += min((WIDEN if wary else 1.0) * self.limit, 1 / self.limit)
+
     def narrow(self, attempt: Attempt, now: int) -> None:
         """One stall delays all that is in flight: it is one sign, however many attempts it holds."""
         if attempt.sent >= self.cut:
