--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -19,11 +19,6 @@
 SILENCE = 5.0  # seconds; while nothing changes an empty line comes every 2 s, so two were missed
 CONNECT_TIME = 1.0
 FIRST_PAUSE, LONGEST_PAUSE = 0.1, 2.0
-# Where discovery turned the question away (503, 429) it has more askers than it can answer. One service takes
-# a call of each gateway in some 2 to 12 s: forty that asked every second filled its line for good, and three in
-# four never had a list again.
-FIRST_BUSY_PAUSE, LONGEST_BUSY_PAUSE = 1.0, 16.0
-BUSY = {429, 503}
 MAX_LINE = 4 * 1024 * 1024
 
 _STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
@@ -51,24 +46,6 @@
     return Member(server, (host, int(port)))
 
 
-class Pauses:
-    """How long to wait between two questions; it doubles from one to the next, until an answer comes."""
-
-    def __init__(self, random: Random) -> None:
-        self._random = random
-        self._next = FIRST_PAUSE
-
-    def answered(self) -> None:
-        self._next = FIRST_PAUSE
-
-    def after(self, busy: bool) -> float:
-        """Seconds; jittered, so that gateways which lost discovery together do not come back together."""
-        first, longest = (FIRST_BUSY_PAUSE, LONGEST_BUSY_PAUSE) if busy else (FIRST_PAUSE, LONGEST_PAUSE)
-        pause = min(max(first, self._next), longest)
-        self._next = min(2 * pause, longest)
-        return pause * self._random.uniform(0.5, 1)
-
-
 class _Watching(asyncio.Protocol):
     """One connection to discovery: hands on each line as it comes, and knows when it has gone silent."""
 
@@ -76,7 +53,6 @@
         self._request = f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
         self._take = take
         self._rest = b""
-        self.busy = False  # it was turned away
         self._parser = httptools.HttpResponseParser(self)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -100,7 +76,6 @@
             self.end(f"{type(cause).__name__}: {cause}")
 
     def on_headers_complete(self) -> None:
-        self.busy = self._parser.get_status_code() in BUSY
         if self._parser.get_status_code() != 200:
             raise ValueError(f"discovery answered {self._parser.get_status_code()}")
 
@@ -140,8 +115,8 @@
         self._address = address
         self._revision = revision
         self._take = take
-        self._pauses = Pauses(Random())
-        self._busy = False  # the last question was turned away
+        self._random = Random()
+        self._pause = FIRST_PAUSE
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -164,8 +139,7 @@
     def move(self, address: tuple[str, int]) -> None:
         """Watch another service, from its whole list on: a revision means nothing to any other service."""
         self.stop()
-        self._address, self._revision = address, 0
-        self._pauses.answered()
+        self._address, self._revision, self._pause = address, 0, FIRST_PAUSE
         self.start()
 
     async def _run(self) -> None:
@@ -174,13 +148,15 @@
                 log.info("discovery: %s; asking again", await self._watch())
             except Exception:  # without a watch, hosts that drain would go unnoticed for good
                 log.exception("discovery: failed; asking again")
-            await asyncio.sleep(self._pauses.after(self._busy))
+            # Jittered, so that gateways which lost discovery together do not all come back at once.
+            await asyncio.sleep(self._pause * self._random.uniform(0.5, 1))
+            self._pause = min(2 * self._pause, LONGEST_PAUSE)
 
     async def _watch(self) -> str:
         """Follow one watch to its end; return why it ended."""
         host, port = self._address
         path = f"/discovery/hosts?watch=1&from={self._revision}"
-        loop, self._busy = asyncio.get_running_loop(), False
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIME):
                 _, watching = await loop.create_connection(
@@ -191,7 +167,6 @@
         try:
             return await watching.over
         finally:
-            self._busy = watching.busy
             watching.end("stopped")
 
     def _line(self, line: bytes) -> None:
@@ -199,4 +174,4 @@
         told = read_list(orjson.loads(line))
         self._take(told)
         self._revision = told.revision
-        self._pauses.answered()
+        self._pause = FIRST_PAUSE
