Read lists that are laid out over many lines, and ask services of hosts as shared ones

Read from the code: _Watching.on_body in net/discovery.py took each line for a list of its own, so that one laid out over many lines was a bad one at its first line; the watch was begun anew for ever, and hosts that drain went unnoticed.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -63,6 +64,24 @@
         assert (lists[0].revision, lists[0].complete, len(lists[0].members)) == (41, True, 1)
 
 
+@scenario
+async def test_a_list_that_is_laid_out_over_many_lines_is_one_list() -> None:
+    """Also behind one on a line, with empty lines between, and cut anywhere on its way."""
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        whole = orjson.loads(line(43, service.entry("Terminating")))
+        text = json.dumps(whole, indent=2).encode() + b"\n"
+        writer.write(HEAD + chunk(line(42, service.entry())) + chunk(b"\n"))
+        for place in range(0, len(text), 7):
+            writer.write(chunk(text[place : place + 7]))
+
+    async with peers(script) as (service,), watching(service) as lists:
+        await until(lambda: len(lists) > 1)
+        assert [told.revision for told in lists] == [42, 43]
+        assert lists[1].members[0].server.state is State.DRAINING
+        assert len(service.requests) == 1
+
+
 @scenario
 async def test_a_watch_that_ends_is_resumed_from_the_last_revision() -> None:
     async def ends(request: Message, writer: asyncio.StreamWriter) -> None:
@@ -151,7 +170,7 @@
 
     monkeypatch.setattr(discovery, "_Watching", Shown)
     async with peers(script, new) as (old, fresh):
-        watch = Discovery(("127.0.0.1", old.port), 41, lists.append)
+        watch = Discovery(("127.0.0.1", old.port), 41, lists.append, PUSHED)
         watch.start()
         await until(lambda: made and made[0]._told)
         assert made[0]._transport is not None
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -12,12 +12,13 @@
 import orjson
 
 from whinrouter.interface import MS, Server, State
-from whinrouter.membership.patience import IN_LINE, PUSHED, Patience
+from whinrouter.membership.patience import IN_LINE, Patience
+from whinrouter.membership.texts import Texts
 from whinrouter.net.hosts import HostList, Member, number
 
 log = logging.getLogger(__name__)
 
-MAX_LINE = 4 * 1024 * 1024
+MAX_LIST = 4 * 1024 * 1024  # bytes of one list that has not come whole
 
 _STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 
@@ -45,9 +46,10 @@
 
 
 class _Watching(asyncio.Protocol):
-    """One connection to discovery: hands on each line as it comes, and knows when it has gone silent.
+    """One connection to discovery: hands on each list as it comes, and knows when it has gone silent.
 
-    Up to the first whole line it has `first` seconds in all, and from then on `silence` from byte to byte.
+    Up to the first whole list, or the first empty line, it has `first` seconds in all, and from then on
+    `silence` from byte to byte.
     """
 
     def __init__(
@@ -55,13 +57,13 @@
     ) -> None:
         self._request = f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
         self._take = take
-        self._rest = b""
+        self._texts = Texts(MAX_LIST)
         self._parser = httptools.HttpResponseParser(self)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._due: asyncio.TimerHandle | None = None
         self._first, self._silence = first, silence
-        self._told = False  # a whole line has come, be it an empty one
+        self._told = False  # a whole list has come, or an empty line
         self.over: asyncio.Future[str] = self._loop.create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -86,13 +88,10 @@
             raise ValueError(f"discovery answered {self._parser.get_status_code()}")
 
     def on_body(self, data: bytes) -> None:
-        *lines, self._rest = (self._rest + data).split(b"\n")
-        if len(self._rest) > MAX_LINE:
-            raise ValueError("a line has no end")
-        for line in lines:
+        for text in self._texts.feed(data):
             self._told = True
-            if line.strip():
-                self._take(line)
+            if text:
+                self._take(text)
 
     def on_message_complete(self) -> None:
         self.end("the watch ended")
@@ -123,7 +122,7 @@
         address: tuple[str, int],
         revision: int,
         take: Callable[[HostList], None],
-        patience: Patience = PUSHED,
+        patience: Patience,
         known: bool = False,
     ) -> None:
         """`known`: there is a list of old, so that the first call may wait for its turn."""
@@ -180,7 +179,7 @@
         path = f"/discovery/hosts?watch=1&from={self._revision}"
         loop, patience = asyncio.get_running_loop(), self.patience
         silence = patience.drawn_silence(self._random)
-        watching = _Watching(path, f"{host}:{port}", self._line, patience.first, silence)
+        watching = _Watching(path, f"{host}:{port}", self._text, patience.first, silence)
         asked_at = loop.time()
         try:
             async with asyncio.timeout(patience.connect):
@@ -193,9 +192,9 @@
             watching.end("stopped")
         return why, not self._listed and loop.time() - asked_at > IN_LINE
 
-    def _line(self, line: bytes) -> None:
-        # Raises on a bad line, which ends the watch: what it held would be missing from the list for good.
-        told = read_list(orjson.loads(line))
+    def _text(self, text: bytes) -> None:
+        # Raises on a bad list, which ends the watch: what it held would be missing from the list for good.
+        told = read_list(orjson.loads(text))
         self._take(told)
         self._revision = told.revision
         self._listed = True
--- a/whinrouter/sidecar.py
+++ b/whinrouter/sidecar.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from whinrouter.interface import SECOND, Effect, RequestClass, Scope, Settings
+from whinrouter.membership.patience import asked
 from whinrouter.net.config import ConfigError, inherited
 from whinrouter.net.discovery import Discovery
 from whinrouter.net.hostfile import HostFile, listed
@@ -26,6 +27,10 @@
 
 log = logging.getLogger("whinrouter")
 
+# A service that names hosts is nobody's own: it may be asked by any number of sidecars, of which this is one.
+# Its watch is kept for as long, and asked for again as seldom, as that of a lone gateway.
+SERVICE = asked(gateways=1, ask_every=10.0)
+
 _EFFECTS = {
     told.Effect.IDEMPOTENT: Effect.IDEMPOTENT,
     told.Effect.KEYED: Effect.KEYED,
@@ -147,7 +152,7 @@
         return partial(HostFile, discovery.file, _read)
     if discovery.source is told.Source.SERVICE:
         assert discovery.address is not None
-        return partial(Discovery, _pair(discovery.address), 0)
+        return partial(Discovery, _pair(discovery.address), 0, patience=SERVICE)
     return _StaticHosts
 
 
