Write no keyed repeat whose connection comes up after its group has forgotten the first

Upstream._up then wrote it whatever the time: the group may have forgotten, and the effect comes twice. The other order as well: the first attempt's connection comes up long after a copy of it has run.

Send now carries the moment from which on an attempt may not begin while another may have run; Gateway._bar, asked wherever an attempt had to wait for its connection, holds it to that, to its request's time (its limit and the connection may be told in one turn), and, as before, to its client. What is alone may take as long as it likes: attempts that never ran count for nothing. Such an attempt ends as not sent, and the request fails, or is refused where the rule allows it.

--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -302,7 +302,18 @@
         self._out += 1
         host.allowance -= pending.request.cost or expected
         late = max(1, ceil(mark * expected))  # rounded down, it would find that it is not late yet
-        return [Send(request, host.info.id), SetTimer(late, f"{request}:{number}", request, number)]
+        send = Send(request, host.info.id, 0, self._forgotten(pending))
+        return [send, SetTimer(late, f"{request}:{number}", request, number)]
+
+    def _forgotten(self, pending: Pending) -> int:
+        """When those that drop a keyed request's repeats may forget it; 0 for any other.
+
+        All of its attempts have to begin by then, once there is more than one that may run: be it the first,
+        whose connection may come up after another has run.
+        """
+        first = pending.first_unsure
+        keyed = first is not None and pending.kind.effect is Effect.KEYED
+        return first.sent + pending.kind.dedup_window if first is not None and keyed else 0
 
     def _choose(self, pending: Pending, now: int) -> Host | None:
         """Two random servers that admit: the less busy first, the other as its fallback."""
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -234,6 +234,8 @@
     request: RequestId
     server: ServerId
     expires: int = 0  # moment at which to give the attempt up; 0: when the client does
+    # Moment from which on its first byte may not leave while another attempt may have run; 0: there is none.
+    begins_by: int = 0
 
 
 class Cancel(NamedTuple):
--- a/whinrouter/net/attempt.py
+++ b/whinrouter/net/attempt.py
@@ -13,7 +13,7 @@
 
 Ended = Callable[["Attempt", Outcome, Message | None], None]
 Began = Callable[["Attempt", Message], None]
-Gone = Callable[["Attempt"], bool]
+Bar = Callable[["Attempt"], Outcome | None]
 
 
 class Carrier(Protocol):
@@ -50,11 +50,12 @@
         owner: Any = None,
         number: int = 0,
         began: Began | None = None,
-        gone: Gone | None = None,
+        bar: Bar | None = None,
     ) -> Attempt | None:
         """Start an attempt; None if the host may not be sent to. It may end before this returns.
 
-        `gone`: whether nobody waits for it any more, asked where it had to wait for its connection.
+        `bar`: what it ends with instead of beginning, asked where it had to wait for its connection; None: it
+        begins.
         `began` is called with an answer that is served and whose body is passed on as it comes; with None,
         such an answer is of no use. The attempt ends with its body.
         """
@@ -65,10 +66,10 @@
 
     __slots__ = (
         "_ended",
+        "bar",
         "began",
         "connection",
         "expires",
-        "gone",
         "host",
         "message",
         "number",
@@ -90,10 +91,10 @@
         number: int,
         now: float,
         began: Began | None = None,
-        gone: Gone | None = None,
+        bar: Bar | None = None,
     ) -> None:
         self.began = began
-        self.gone = gone
+        self.bar = bar
         self.streams = False  # its answer goes to the client as it comes
         self.host = host
         self.message = message
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -72,9 +72,11 @@
     """A request with its answer owed, or attempts out."""
 
     __slots__ = (
+        "begins",
         "deadline",
         "gone",
         "message",
+        "never_ran",
         "patience",
         "reply",
         "request",
@@ -101,6 +103,10 @@
         self.timer: Timer | None = None
         self.spared = False  # its time was up while an answer lay unread
         self.sent: list[Attempt | None] = []  # by number; None once it has ended
+        self.begins: list[
+            int
+        ] = []  # likewise, when each is to have begun if another may have run; 0: any time
+        self.never_ran = 0  # how many of them
         self.patience = (
             0  # microseconds that its client waits from the end of its body, if that is to come yet
         )
@@ -253,7 +259,7 @@
     def _do(self, action: Action, now: int) -> None:
         # In the order of how often each comes.
         if isinstance(action, Send):
-            self._send(self._held[action.request], action.server, action.expires, now)
+            self._send(self._held[action.request], action, now)
         elif isinstance(action, SetTimer):
             self._set_timer(action)
         elif isinstance(action, Cancel):
@@ -289,9 +295,11 @@
         else:
             self._feed(event)
 
-    def _send(self, held: _Held, server: ServerId, expires: int, now: int) -> None:
+    def _send(self, held: _Held, action: Send, now: int) -> None:
+        _, server, expires, begins_by = action
         number = len(held.sent)
         held.sent.append(None)
+        held.begins.append(begins_by)
         until = min(expires, held.deadline) if expires else held.deadline
         if self._attempt_time and not held.comes:
             until = min(until, now + self._attempt_time)
@@ -302,7 +310,7 @@
         if held.reply is not None and until > now:  # no attempt leaves after the final answer
             due = self._loop.time() + (until - now) / SECOND
             attempt = self._upstream.send(
-                server, held.message, due, self._ended, held, number, self._began, self._gone
+                server, held.message, due, self._ended, held, number, self._began, self._bar
             )
         if attempt is None:
             self._tell(held, number, server, Outcome.NOT_SENT, now)
@@ -311,9 +319,18 @@
             if until < held.deadline:
                 self._timers.call_later((until - now) / SECOND, _time_out, attempt)
 
-    def _gone(self, attempt: Attempt) -> bool:
+    def _bar(self, attempt: Attempt) -> Outcome | None:
+        """Why an attempt that had to wait is not to begin any more; None if it may.
+
+        What ends it may be told after its connection, in the same turn of the loop. Its client's end may not
+        be told at all, while nothing is read from it.
+        """
         held: _Held = attempt.owner
-        return self._left(held)
+        if self._left(held):
+            return Outcome.CANCELLED
+        begins_by, others = held.begins[attempt.number], len(held.sent) - held.never_ran > 1
+        late = self._loop.time() >= attempt.expires or (0 < begins_by <= self.clock.now() and others)
+        return Outcome.NOT_SENT if late else None
 
     def _left(self, held: _Held) -> bool:
         """Whether nobody waits for a request any more. One whose client has left is over with this look."""
@@ -365,6 +382,7 @@
         lay: int = 0,
     ) -> None:
         answered = held.reply is None
+        held.never_ran += outcome.never_ran
         rest = held.message.rest
         spent = rest is not None and rest.begun
         event = AttemptEnded(held.request, number, server, outcome, latency, answered, None, lay, spent)
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from whinrouter.interface import Outcome, ServerId, State
-from whinrouter.net.attempt import Attempt, Began, Ended, Gone
+from whinrouter.net.attempt import Attempt, Bar, Began, Ended
 from whinrouter.net.connect import connect
 from whinrouter.net.hosts import Member
 from whinrouter.net.http import LAST_CHUNK, Message, Reading, ResponseReader, chunk
@@ -325,14 +325,14 @@
         owner: Any = None,
         number: int = 0,
         began: Began | None = None,
-        gone: Gone | None = None,
+        bar: Bar | None = None,
     ) -> Attempt | None:
         """Start an attempt; None if the host may not be sent to. It may end before this returns."""
         host = self._hosts.get(server)
         if host is None:
             return None
         now = self.now()
-        attempt = Attempt(host, message, expires, ended, owner, number, now, began, gone)
+        attempt = Attempt(host, message, expires, ended, owner, number, now, began, bar)
         # The latest used: the longer one has stood idle, the likelier its host has closed it.
         while host.idle:
             connection = host.idle.pop()
@@ -359,13 +359,11 @@
 
     def _up(self, host: _Host, attempt: Attempt, connection: _Connection) -> None:
         host.connecting.discard(attempt)
+        barred = attempt.bar(attempt) if attempt.bar is not None and not attempt.over else None
+        if barred is not None:
+            attempt.stop(barred)
         if attempt.over:
             connection.drop()
-        elif attempt.gone is not None and attempt.gone(attempt):
-            # Its end may be told after this connection in the same turn of the loop, or not at all while
-            # nothing is read from the client.
-            connection.drop()
-            attempt.stop(Outcome.CANCELLED)
         elif connection.usable:  # one reset as soon as it was up would never report that it is lost
             connection.carry(attempt, self.now())
 
