Owe nothing at the end: SIGHUP at the start, longer classes, sent ahead, drains, another's line

At fault: - program.py and __main__.py: until `_serve` had its handler, SIGHUP ended the process. It now waits, blocked, from before the file is read until it can be acted on; before that the run line passes it over (nothing is read yet then). - program._until_answered waited for the longest deadline of the settings at the start, from 0.5 s after SIGTERM on: what a reload made longer, or came whole late, was lost at the exit. Now: the time to come whole and the longest in force. - _Client._finish ended the connection under requests that had come whole behind the one in work; now with the last. - A request that comes whole more than 0.7 s after SIGTERM is answered before the earliest SIGKILL, or refused at once. - Upstream.update left host by host: what waited for the first was written to the next that drains in the same list. - Frontend._sweep ended who had something unread 1 s past their time; it may be a whole request at the own limit. Now once no client waits any more. The test of who sends for ever holds the same at that time, and another the time before. - succession: name and address may be another customer's. Both sides now have to hold the same listening socket (its inode); why nothing is taken is logged on both.

Three tests gave 0.0 as the time of SIGTERM, which now reads as long ago: they give the time it is.

--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -168,7 +168,7 @@
         path = next(path for path in tmp_path.iterdir() if path.name.startswith("copperlead-"))
         for step in ("nothing", "half of a hello", "told"):
             reader, writer = await asyncio.open_unix_connection(str(path))
-            hello = frame(Hello("n3", f"127.0.0.1:{port}"))
+            hello = frame(Hello("n3", f"127.0.0.1:{port}", os.fstat(listener.fileno()).st_ino))
             writer.write({"nothing": b"", "half of a hello": hello[:9], "told": hello}[step])
             if step == "told":
                 assert (await reader.read(4)) == b"CLH1"
@@ -225,14 +225,39 @@
     return answer
 
 
+@pytest.mark.parametrize("other", ["name", "address", "socket"])
 @scenario
-async def test_a_process_of_another_name_is_told_nothing(tmp_path: Path) -> None:
-    async with scene() as (_, _, listener, config, _), gateway(tmp_path, listener, config) as old:
+async def test_a_process_of_another_gateway_is_told_nothing(tmp_path: Path, other: str) -> None:
+    async with scene() as (_, _, listener, config, port), gateway(tmp_path, listener, config) as old:
         await ready(old)
         path = next(path for path in tmp_path.iterdir() if path.name.startswith("copperlead-"))
         reader, writer = await asyncio.open_unix_connection(str(path))
-        writer.write(frame(Hello("n4", "127.0.0.1:1")))
+        name, address = "n3", f"127.0.0.1:{port}"
+        number = os.fstat(listener.fileno()).st_ino
+        strangers = {
+            "name": Hello("n4", address, number),
+            "address": Hello(name, "127.0.0.1:1", number),
+            "socket": Hello(name, address, number + 1),
+        }
+        writer.write(frame(strangers[other]))
         async with asyncio.timeout(GENEROUS):
             assert await reader.read() == b""
-        await until(lambda: True)
+        await logged(old.process, "another gateway")
         writer.close()
+
+
+@scenario
+async def test_another_customer_s_process_at_the_same_name_and_port_gives_nothing(tmp_path: Path) -> None:
+    """Both are told one name, one address and one temporary folder: only the socket tells them apart."""
+    async with scene() as (_, _, theirs, config, port), gateway(tmp_path, theirs, config) as other:
+        await ready(other)
+        await ask(other.control, "OFFLINE s-0")
+        with socket.socket() as ours:  # listens at the same port, of another address of this machine
+            ours.bind(("127.0.0.2", port))
+            ours.listen(128)
+            async with gateway(tmp_path, ours, config) as mine:
+                await logged(other.process, "another gateway")
+                await ready(mine)
+                assert (await ask(mine.control, "HEALTH")).endswith("out=0")
+                assert (await ask(other.control, "HEALTH")).endswith("out=1")
+                assert await bodies(port) == {b"two"}, "theirs serves on as it did"
--- a/tests/handover/test_words.py
+++ b/tests/handover/test_words.py
@@ -42,7 +42,7 @@
 
 ROW = Row(2**64 - 1, "127.0.0.1", 9000, "ready", "a", "m2", 3, 1.0, 17)
 SAID: list[Message] = [
-    Hello("n3", "127.0.0.1:9000"),
+    Hello("n3", "127.0.0.1:9000", 41),
     Snapshot("127.0.0.1:8500", 41, (ROW,), {2**64 - 1: 5}, {7: 9}, True, _experienced().balancer.learnt()),
     Ready(),
     Holding(140),
--- /dev/null
+++ b/tests/operations/test_presence.py
@@ -0,0 +1,30 @@
+"""When clients are to go, and by when what still comes is to be answered."""
+
+from __future__ import annotations
+
+import pytest
+
+from whinrouter.operations.presence import ENDS_AFTER, MOST_COUNTED, Presence
+
+
+@pytest.mark.parametrize("longest", [0.3, 3.0, 20.0])
+def test_what_comes_late_after_the_signal_is_answered_before_the_process_is_ended(longest: float) -> None:
+    presence = Presence()
+    assert presence.time_left(100.0, longest) is None
+    presence.leave(100.0)
+    assert presence.time_left(200.0, longest) is None, "a process that an operator empties is not ended"
+    presence = Presence()
+    presence.stop(100.0)
+    killed = 100.0 + ENDS_AFTER + min(longest, MOST_COUNTED)
+    assert presence.time_left(100.0 + ENDS_AFTER, longest) is None, "it has its own time"
+    for now in (100.01 + ENDS_AFTER, killed - 0.1, killed, killed + 50):
+        left = presence.time_left(now, longest)
+        assert left is not None
+        assert left == pytest.approx(max(0.0, killed - now))
+
+
+def test_the_first_signal_counts() -> None:
+    presence = Presence()
+    presence.stop(100.0)
+    presence.stop(102.0)
+    assert presence.time_left(102.0, 0.3) == 0.0
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -406,7 +406,7 @@
         text = request_text()
         client.writer.write(text[:30])
         await until(lambda: any(other._requests.began for other in proxy.frontend.connections))
-        proxy.frontend.presence.stop(0.0)
+        proxy.frontend.presence.stop(asyncio.get_running_loop().time())
         proxy.frontend.close()
         client.writer.write(text[30:])
         answer = await client.answer()
--- a/tests/test_unread.py
+++ b/tests/test_unread.py
@@ -11,6 +11,7 @@
 
 from tests.peers import (
     GENEROUS,
+    SETTINGS,
     Client,
     Peer,
     Running,
@@ -24,8 +25,11 @@
     sources_only,
     until,
 )
+from whinrouter.interface import SECOND
 from whinrouter.net import frontend
 
+SECONDS = max(kind.deadline for kind in SETTINGS.classes) / SECOND  # for which a client waits at the most
+
 
 def _before_admit(proxy: Running, act: Callable[[], None]) -> None:
     """Between the loop's look at the sockets and the admission of a newcomer other callbacks run."""
@@ -136,18 +140,31 @@
         client = await proxy.client()
         await until(lambda: proxy.frontend.connections)
         (connection,) = proxy.frontend.connections
-        connection.due = asyncio.get_running_loop().time() - frontend.UNREAD_GRACE
+        connection.due = asyncio.get_running_loop().time() - SECONDS
         client.writer.write(b"G")
         proxy.frontend._sweep()
         await until(lambda: not proxy.frontend.connections)
 
 
+@scenario
+async def test_a_request_that_waits_unread_for_long_at_the_own_limit_is_not_dropped() -> None:
+    """Reads are few a turn there: its time to be idle ran out long ago, its client's time has not."""
+    async with peers(says()) as (host,), running(host.member()) as proxy:
+        client = await proxy.client()
+        await until(lambda: proxy.frontend.connections)
+        (connection,) = proxy.frontend.connections
+        connection.due = asyncio.get_running_loop().time() - SECONDS + 1
+        client.writer.write(request_text())
+        proxy.frontend._sweep()
+        assert (await client.answer()).status == 200
+
+
 @scenario
 async def test_a_request_unread_at_the_end_is_answered() -> None:
     async with peers(says()) as (host,), running(host.member()) as proxy:
         client, other = await proxy.client(), await proxy.client()
         assert (await client.ask()).status == 200
-        proxy.frontend.presence.stop(0.0)
+        proxy.frontend.presence.stop(asyncio.get_running_loop().time())
         client.writer.write(request_text())
         proxy.frontend.close()
         answer = await client.answer()
@@ -162,7 +179,7 @@
         for _ in range(40):  # more than one turn accepts; the loop does not run meanwhile
             waiting.append(socket.create_connection(("127.0.0.1", proxy.port)))
             waiting[-1].sendall(request_text())
-        proxy.frontend.presence.stop(0.0)
+        proxy.frontend.presence.stop(asyncio.get_running_loop().time())
         await proxy.frontend.listener.accept_rest()
         proxy.frontend.close()
         for endpoint in waiting:
--- a/whinrouter/__main__.py
+++ b/whinrouter/__main__.py
@@ -9,7 +9,7 @@
 
 from whinrouter.net.config import Config, ConfigError, load, reload
 from whinrouter.net.discovery import Discovery
-from whinrouter.program import RESERVED, Hosts, Plan, Retune, Tuning, log_to_stderr, serve
+from whinrouter.program import RESERVED, Hosts, Plan, Retune, Tuning, hold_reloads, log_to_stderr, serve
 
 log = logging.getLogger("whinrouter")
 
@@ -73,6 +73,7 @@
 
 
 def main() -> int:
+    hold_reloads()
     log_to_stderr()
     try:
         serve(plan(load(os.environ)))
--- a/whinrouter/handover/channel.py
+++ b/whinrouter/handover/channel.py
@@ -94,7 +94,11 @@
             raise PermissionError("another user's")
         loop = asyncio.get_running_loop()
         _, peer = await loop.create_unix_connection(lambda: Peer(owner, True), sock=endpoint)
-    except OSError:
+    except FileNotFoundError:  # the first of its kind
+        endpoint.close()
+        return None
+    except OSError as error:
+        log.warning("handover: nobody can be asked (%s); starting from nothing", error)
         endpoint.close()
         return None
     return peer
--- a/whinrouter/handover/succession.py
+++ b/whinrouter/handover/succession.py
@@ -111,6 +111,8 @@
             log.warning("handover: the older process says nothing; starting from nothing")
             told = None
         if told is None and self.older is not None:
+            if self._taken.done():
+                log.warning("handover: who is asked ended the line, as for a stranger; starting from nothing")
             self.older.close()
             self.older = None
         if told is None:
@@ -201,7 +203,12 @@
 
     def _give(self, line: Peer, hello: Hello) -> None:
         if hello != self.hello:
-            log.warning("handover: %s at %s asked, which is another gateway", hello.name, hello.listen)
+            log.warning(
+                "handover: %s at %s asked, by socket %d, which is another gateway",
+                hello.name,
+                hello.listen,
+                hello.socket,
+            )
             line.close()
             return
         desk = self.desk
@@ -245,6 +252,7 @@
         if line is self.older:
             self.older = None
             if self._taken is not None and not self._taken.done():
+                self.older = line  # `take` sees to the rest
                 self._taken.set_result(None)
                 return
             log.info("handover: the older process has ended")
--- a/whinrouter/handover/words.py
+++ b/whinrouter/handover/words.py
@@ -27,10 +27,16 @@
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """A process that starts asks for what the one before it knows."""
+    """A process that starts asks for what the one before it knows.
+
+    `socket` is what the two share and no other installation can have: the number (inode) of the listening
+    socket, which belongs to this one for as long as anybody holds it. A name and an address may have been
+    another's.
+    """
 
     name: str
     listen: str
+    socket: int
 
 
 class Row(msgspec.Struct, frozen=True, array_like=True):
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -18,7 +18,7 @@
 from whinrouter.interface import SECOND, Effect, RequestClass, RequestId, Settings
 from whinrouter.net.connect import Listener
 from whinrouter.net.door import Door
-from whinrouter.net.gateway import Answer, Asked, Gateway
+from whinrouter.net.gateway import MARGIN, Answer, Asked, Gateway
 from whinrouter.net.http import (
     LAST_CHUNK,
     BadMessageError,
@@ -59,13 +59,14 @@
 # And for which one may go on with a body whose request has its answer already, before its connection ends.
 LINGER_BODY = 3.0
 SWEEP_EVERY = 0.25  # seconds between looks at who is overdue
+# Seconds that a request needs to be sent on at all, of a process that is ended soon: its answer's way, and as
+# much for the host.
+LEAST_LEFT = 2 * MARGIN / SECOND
 # Seconds after which a client that asked may have left again: it is looked at before its request is taken.
 LEAVES_AFTER = 0.05
 # Connections that are looked at to make room for one. Those with something unread go to the end of the line,
 # so that a crowd of them costs each newcomer no more than these few looks.
 LOOKS = 8
-# Seconds past its time for which a connection with something unread is kept: the loop is late, not the peer.
-UNREAD_GRACE = 1.0
 _FRAMED = re.compile(
     rb"\n(?:content-length|transfer-encoding|expect|upgrade|connection)[ \t]*:", re.IGNORECASE
 )
@@ -140,6 +141,12 @@
         """Whether more waits than may."""
         return self.buffered > self._most_buffered
 
+    @property
+    def longest(self) -> float:
+        """Seconds in which each request that is here is over, by the settings in force and those before."""
+        kinds = [*self._classes.values(), *(kind for kind, _ in self._former.values())]
+        return max(kind.deadline for kind in kinds) / SECOND
+
     @property
     def ready(self) -> bool:
         return self.gateway.has_list and self.presence.up
@@ -195,7 +202,8 @@
     def _sweep(self) -> None:
         now = self._loop.time()
         for client in [client for client in self.waiting if client.due <= now]:
-            if client.dispensable or client.due + UNREAD_GRACE <= now:
+            # With something unread the loop may be late, not the peer; after that time nobody waits any more.
+            if client.dispensable or client.due + self.longest <= now:
                 client.run_out()
         for client in [client for client in self.streaming if client.stuck(now)]:
             client.give_up()
@@ -438,6 +446,11 @@
         elif body is self._own and self._request is not None:
             self._front.gateway.whole(self._request)
 
+    @property
+    def _last(self) -> bool:
+        """Whether the request in work is to be the last: no more are wanted, and none that is whole waits."""
+        return not (self._front.presence.up or self._queued)
+
     @property
     def _early(self) -> bool:
         """Whether the body of the request in work is to come yet."""
@@ -588,15 +601,22 @@
         if message.target == b"/up" and message.method == b"GET":
             self._reply(Answer(HTTPStatus.OK if self._front.ready else HTTPStatus.SERVICE_UNAVAILABLE))
             return
-        asked = self._front.asked(message)
+        front = self._front
+        asked = front.asked(message)
         name = asked.name
-        if name in self._front.open_ids:
+        if name in front.open_ids:
             # Hosts tell requests apart by their ids: a second one could have the first's effect again.
             raise BadMessageError(HTTPStatus.BAD_REQUEST, "the id is in use")
+        left = front.presence.time_left(self._loop.time(), front.longest)
+        if left is not None:  # the process is ended soon, answered or not
+            if left <= LEAST_LEFT:
+                self._reply(Answer(HTTPStatus.SERVICE_UNAVAILABLE))
+                return
+            asked = asked._replace(timeout=min(asked.timeout, round(left * SECOND)))
         self._id = name
-        self._front.open_ids.add(name)
+        front.open_ids.add(name)
         waited = max(0.0, self._loop.time() - message.came)
-        request = self._front.gateway.take(asked, self._reply, waited, self.gone)
+        request = front.gateway.take(asked, self._reply, waited, self.gone)
         if self._busy:  # it may have its answer already
             self._request = request
             if message.rest is not None and self._requests.waits_for_leave and self._transport is not None:
@@ -637,7 +657,7 @@
 
     def _pass_on(self, answer: Answer, rest: Flow) -> None:
         """Its body goes on as it comes."""
-        self._close = self._close or not self._front.presence.up or self._early
+        self._close = self._close or self._last or self._early
         length, transport = rest.length, self._transport
         self._chunked = length is None and self._newer
         self._close = self._close or (length is None and not self._newer)
@@ -665,8 +685,7 @@
     def _finish(self, answer: Answer) -> None:
         self._busy, self._request = False, None
         self._free_id()
-        self._close = self._close or not self._front.presence.up
-        self._close = self._close and not self._crowded
+        self._close = (self._close or self._last) and not self._crowded
         self._write(answer)
 
     def _rest_after(self) -> None:
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -283,11 +283,12 @@
         return self._connecting + self.connections
 
     def update(self, members: Iterable[Member], complete: bool) -> None:
-        """Follow the list; a host that drains or left gets nothing more, from this moment on."""
+        """Follow the list; a host that drains or left gets nothing more, from this moment on.
+
+        What waited for one is given up only when all of the list holds: it may be sent elsewhere at once.
+        """
         named = {member.server.id: member for member in members}
-        if complete:
-            for server in [server for server in self._hosts if server not in named]:
-                self._leave(server)
+        left = [server for server in self._hosts if server not in named] if complete else []
         for server, member in named.items():
             known = self._hosts.get(server)
             # After a restart the old connections lead nowhere, even if no reset ever came over them.
@@ -296,12 +297,15 @@
                 or (known.member.address, known.member.server.started)
                 != (member.address, member.server.started)
             ):
-                self._leave(server)
+                left.append(server)
+        hosts = [self._hosts.pop(server) for server in left]
+        for server, member in named.items():
             if member.server.state is State.READY and server not in self._hosts:
                 self._hosts[server] = _Host(member)
+        for host in hosts:
+            self._leave(host)
 
-    def _leave(self, server: ServerId) -> None:
-        host = self._hosts.pop(server)
+    def _leave(self, host: _Host) -> None:
         host.ready = False
         for connection in list(host.idle):
             connection.drop()
--- a/whinrouter/operations/presence.py
+++ b/whinrouter/operations/presence.py
@@ -21,6 +21,10 @@
 # which is before a platform that gives a process the shortest deadlines and 0.7 s ends it.
 PATIENT = 1.2
 LEAST_REST = 0.25  # seconds that a new connection has for its first request
+# A platform ends a process no sooner than this and the longest deadline after SIGTERM, and counts as the
+# longest one at most so much. What comes after the first of these, as its first bytes were here before, has
+# to be answered by then; what came before has its own time.
+ENDS_AFTER, MOST_COUNTED = 0.7, 3.0
 
 
 class Stage(Enum):
@@ -60,6 +64,15 @@
             self._since = now
         self.stage = Stage.STOPPING
 
+    def time_left(self, now: float, longest: float) -> float | None:
+        """Seconds within which a request that comes now is to be answered; None: within its own time.
+
+        `longest`: the longest that any has.
+        """
+        if self.stage is not Stage.STOPPING or now <= self._since + ENDS_AFTER:
+            return None
+        return max(0.0, self._since + ENDS_AFTER + min(longest, MOST_COUNTED) - now)
+
     def rest(self, now: float) -> float | None:
         """Seconds that a connection may be idle; None: as long as at other times."""
         if self.stage is Stage.SERVING:
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -22,7 +22,7 @@
 from whinrouter.net.application import Application
 from whinrouter.net.config import ConfigError
 from whinrouter.net.door import Door
-from whinrouter.net.frontend import Frontend
+from whinrouter.net.frontend import RECEIVE_TIME, Frontend
 from whinrouter.net.gateway import Gateway
 from whinrouter.net.hosts import HostList
 from whinrouter.net.routes import Routes
@@ -106,6 +106,14 @@
     listener: int | None = None  # the descriptor of a socket that listens for clients already
 
 
+def hold_reloads() -> None:
+    """Let SIGHUP wait until `serve` can act on it; to be called before the configuration is read.
+
+    Until then it would end the process; and what it tells of may be newer than what was read.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
+
+
 def serve(plan: Plan) -> None:
     """Run until SIGTERM or SIGINT, or until the application ends if it is to end with that.
 
@@ -134,6 +142,7 @@
         hosts.resume(told.source, told.revision)
     retune = partial(_retune, gateway, frontend, upstream, succession)
     loop.add_signal_handler(signal.SIGHUP, plan.reload, hosts, retune)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
     control = await _control(plan, desk, lambda: _serves(frontend, succession))
     application = _application(plan, frontend, stop)
     if application is None:
@@ -154,15 +163,8 @@
     frontend.presence.stop(loop.time())
     if application is not None:
         application.stop()
-    replaced = succession is not None and succession.replaced
-    if not replaced:  # else it is another process that connections go on coming to
-        await asyncio.sleep(STILL_ACCEPTING)
-    await frontend.listener.accept_rest()
-    if replaced:  # those that are idle end with an answer, or as `Presence` says
-        frontend.close_listener()
-    else:
-        frontend.close()
-    await _until_answered(frontend, max(kind.deadline for kind in plan.settings.classes) / SECOND)
+    await _take_no_more(frontend, replaced=succession is not None and succession.replaced)
+    await _until_answered(frontend)
     hosts.stop()
     lag.cancel()
     if control is not None:
@@ -181,8 +183,9 @@
     from whinrouter.handover.succession import Succession  # noqa: PLC0415 - only where it is on
     from whinrouter.handover.words import Hello  # noqa: PLC0415
 
-    hello = Hello(plan.name, "{}:{}".format(*plan.listen))
-    path = Path(folder) / f"copperlead-{blake2b(repr(hello).encode(), digest_size=8).hexdigest()}"
+    hello = Hello(plan.name, "{}:{}".format(*plan.listen), os.fstat(plan.listener).st_ino)
+    named = repr((hello.name, hello.listen)).encode()
+    path = Path(folder) / f"copperlead-{blake2b(named, digest_size=8).hexdigest()}"
     succession = Succession(
         gateway,
         frontend,
@@ -293,10 +296,25 @@
         return True
 
 
-async def _until_answered(frontend: Frontend, longest: float) -> None:
-    """Each connection closes with its answer; one who doesn't read must not hold up the exit."""
+async def _take_no_more(frontend: Frontend, replaced: bool) -> None:
+    """Stop listening, once what still comes has come."""
+    if not replaced:  # else it is another process that connections go on coming to
+        await asyncio.sleep(STILL_ACCEPTING)
+    await frontend.listener.accept_rest()
+    if replaced:  # those that are idle end with an answer, or as `Presence` says
+        frontend.close_listener()
+    else:
+        frontend.close()
+
+
+async def _until_answered(frontend: Frontend) -> None:
+    """Each connection closes with its answer; one who doesn't read must not hold up the exit.
+
+    A request that had begun to come has its time to come whole, and then its class's, by the settings in
+    force.
+    """
     try:
-        async with asyncio.timeout(longest):
+        async with asyncio.timeout(RECEIVE_TIME + frontend.longest):
             while frontend.connections:
                 await asyncio.sleep(0.01)
         return
--- a/whinrouter/sidecar.py
+++ b/whinrouter/sidecar.py
@@ -23,7 +23,7 @@
 from whinrouter.operator.explain import changes
 from whinrouter.operator.loading import Loaded, load
 from whinrouter.operator.values import Address
-from whinrouter.program import Beside, Hosts, Plan, Retune, Tuning, log_to_stderr, serve
+from whinrouter.program import Beside, Hosts, Plan, Retune, Tuning, hold_reloads, log_to_stderr, serve
 
 log = logging.getLogger("whinrouter")
 
@@ -44,6 +44,7 @@
 
     `digest`: what `copperlead sidecar check` showed; a file that has changed since is refused.
     """
+    hold_reloads()
     loaded = load(path)
     findings = check(loaded)
     for finding in findings:
