--- a/tests/peers.py
+++ b/tests/peers.py
@@ -96,6 +96,7 @@
     requests: list[Message] = field(default_factory=list)
     askers: list[asyncio.StreamWriter] = field(default_factory=list)  # the connection of each request
     connections: int = 0
+    taken: int = 0  # bytes, be they a whole request or not
     closed: int = 0
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
     port: int = 0
@@ -111,6 +112,7 @@
         parser = RequestReader()
         try:
             while data := await reader.read(65536):
+                self.taken += len(data)
                 for request in parser.feed(data):
                     self.requests.append(request)
                     self.askers.append(writer)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import socket
 import struct
@@ -25,9 +26,12 @@
     running,
     says,
     scenario,
+    sources_only,
     until,
 )
 from whinrouter.interface import Server
+from whinrouter.net import upstream
+from whinrouter.net.connect import connect
 from whinrouter.net.hosts import Member, number
 from whinrouter.net.sockets import left
 
@@ -211,6 +215,70 @@
         await _serves_on(proxy)
 
 
+def _no_connection(monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
+    """No connection to a host comes up before this is set."""
+    gate = asyncio.Event()
+
+    async def late(*args: Any) -> None:
+        await gate.wait()
+        await connect(*args)
+
+    sources_only(upstream)
+    monkeypatch.setattr(upstream, "connect", late)
+    return gate
+
+
+async def _half_here(proxy: Running) -> RawClient:
+    """A client whose body has begun to come, and is not read any further for now."""
+    client = RawClient(proxy.port)
+    text = request_text("chapter-buy", body=bytes(400_000))
+    sent = 0
+    while not any(one._in is not None and one._in._held for one in proxy.frontend.connections):
+        with contextlib.suppress(BlockingIOError):
+            sent += client.send(text[sent : sent + 10_000])
+        assert sent < len(text) - 100_000, "all of it is read"
+        await asyncio.sleep(0.001)
+    return client
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+@scenario
+async def test_the_sweep_goes_on_behind_a_client_that_left_unread(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It moves nothing any more, and to end its connection in order fails, as that is gone."""
+    gate = _no_connection(monkeypatch)
+    async with peers(says()) as (host,), running(host.member()) as proxy:
+        client = await _half_here(proxy)
+        client.leave(how)
+        _until_here(proxy)
+        (one,) = proxy.frontend.connections
+        assert one._in is not None
+        one._in._due = 0.0
+        await until(lambda: not proxy.frontend.connections)  # two sweeps: its answer lingers
+        gate.set()
+        await _quiet(proxy)
+        assert not host.taken
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+@scenario
+async def test_with_its_body_half_here_and_nothing_read_for_now(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What was read waits for a connection to a host, and no more is: nobody is told of the client's end."""
+    gate = _no_connection(monkeypatch)
+    async with peers(says()) as (host,), running(host.member()) as proxy:
+        client = await _half_here(proxy)
+        client.leave(how)
+        _until_here(proxy)
+        gate.set()
+        await _quiet(proxy)
+        await until(lambda: host.closed == host.connections)
+        assert not host.taken
+        await _serves_on(proxy)
+
+
 @pytest.mark.parametrize("how", ["end", "reset"])
 @scenario
 async def test_before_it_was_read(how: str) -> None:
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import math
 import os
@@ -200,6 +201,7 @@
         return False
 
     def _sweep(self) -> None:
+        self._loop.call_later(SWEEP_EVERY, self._sweep)  # before anything that could fail
         now = self._loop.time()
         for client in [client for client in self.waiting if client.due <= now]:
             # With something unread the loop may be late, not the peer; after that time nobody waits any more.
@@ -211,7 +213,6 @@
         if rest is not None:
             for client in [client for client in self.waiting if client.since <= now - rest]:
                 client.close_if_idle()
-        self._loop.call_later(SWEEP_EVERY, self._sweep)
 
     def turned_away(self) -> bytes:
         """The answer to a request that waited too long unread: nobody has heard of it."""
@@ -546,7 +547,8 @@
         self._write(Answer(status))
         # To close with bytes unread would reset the connection, and could take this answer with it.
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.write_eof()
+            with contextlib.suppress(OSError):  # the client reset it while it was not read
+                self._transport.write_eof()
             self._wait(LINGER)
             self._front.waiting.move_to_end(self, last=False)
 
@@ -566,18 +568,21 @@
             self._reject(HTTPStatus.TOO_MANY_REQUESTS)
 
     def gone(self) -> bool:
-        """Whether the client has left, though the loop may not have been told yet.
+        """Whether the client has left, though the loop may not have been told yet; its connection ends then.
 
         The loop is told late where it runs late or the client's socket waits its turn at the own limit, and
         where nothing is read for now, as the host takes no more of a body.
         """
-        return self._transport is None or self._transport.is_closing() or left(self._transport)
+        if self._transport is None or self._transport.is_closing():
+            return True
+        if not left(self._transport):
+            return False
+        self.drop()
+        return True
 
     def _go_on_with_next(self) -> None:
         """What waited behind another request is next, if anybody waits for it still."""
-        if self._queued and not self._deaf and self.gone():
-            self.drop()
-        else:
+        if not self._queued or self._deaf or not self.gone():
             self._next()
 
     def _next(self) -> None:
