Let a connection rest for 5 ms after an answer, so that a late second one is nobody's

At fault: Upstream.send took the connection used last, however lately.

Now one rests for 5 ms, and no longer than its answer took, so that those at rest are never more than those in use were; of the others the one used last is taken, as before. The test has the second answer come as the next request is there: "first" for "second" without the mend.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,12 +9,12 @@
 
 import pytest
 
-from tests.peers import Peer, Script, peers, reset, resets, says, scenario, silent, until
+from tests.peers import Peer, Script, change, peers, reset, resets, says, scenario, silent, until
 from whinrouter.interface import Outcome, Server, State
 from whinrouter.net.attempt import Attempt
 from whinrouter.net.hosts import Member, number
 from whinrouter.net.http import Message
-from whinrouter.net.upstream import Upstream
+from whinrouter.net.upstream import REST, Upstream
 
 HOST = number("s-0")
 PAGE = Message(b"GET", b"/page-read", headers=[(b"x-request-id", b"1")])
@@ -229,6 +229,42 @@
         assert host.connections == 2
 
 
+@scenario
+async def test_a_second_answer_that_comes_late_is_not_given_to_the_next_request() -> None:
+    """It comes as the next request is here already, which took another connection."""
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        if len(host.requests) == 1:
+            clock[0] += 0.1  # its answer took so long
+        else:
+            await says(body=b"first")(request, host.writers[0])
+        await says(body=b"second" if len(host.requests) > 1 else b"first")(request, writer)
+
+    async with peers(script) as (host,):
+        sender = Sender(host.port)
+        clock = [sender.upstream.now()]
+        change(sender.upstream, "now", lambda: clock[0])
+        assert await sender.outcome() is Outcome.OK
+        clock[0] += REST / 2
+        assert await sender.outcome() is Outcome.OK
+        assert [answer.body for _, answer in sender.ends if answer is not None] == [b"first", b"second"]
+        assert host.connections == 2
+        clock[0] += REST
+        assert await sender.outcome() is Outcome.OK
+        assert host.connections == 2, "rested, it is used again"
+
+
+@scenario
+async def test_a_connection_rests_no_longer_than_its_answer_took() -> None:
+    async with peers(says()) as (host,):
+        sender = Sender(host.port)
+        clock = [sender.upstream.now()]
+        change(sender.upstream, "now", lambda: clock[0])
+        for _ in range(3):  # at once, by its clock
+            assert await sender.outcome() is Outcome.OK
+        assert host.connections == 1
+
+
 @scenario
 async def test_the_start_of_another_answer_spoils_a_connection() -> None:
     async def script(request: Message, writer: asyncio.StreamWriter) -> None:
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -21,6 +21,10 @@
 
 QUICK = 0.005  # seconds within which an answer is not asked how long it lay unread
 SWEEP_EVERY = 0.25  # seconds between looks at idle connections; a fraction of IDLE_MARGIN
+# Seconds for which a connection rests after an answer: a second one that comes behind it, some milliseconds
+# late (1 to 4 in 101 seen), would be taken for the next request's. No longer than the answer itself took, so
+# that resting ones are never more than those in use were.
+REST = 0.005
 IDLE_MARGIN = 2.0  # seconds before the host's own limit at which an idle connection is dropped
 
 
@@ -31,6 +35,16 @@
     idle: list[_Connection] = field(default_factory=list)  # the latest used last
     connecting: set[Attempt] = field(default_factory=set)
 
+    def rested(self, now: float) -> _Connection | None:
+        """Take the latest used of those at rest for long enough; None if there is none.
+
+        The longer one has stood idle, the likelier its host has closed it.
+        """
+        for place in range(len(self.idle) - 1, -1, -1):
+            if self.idle[place].rests_until <= now:
+                return self.idle.pop(place)
+        return None
+
 
 class _Connection(Reading):
     """One connection to a host; carries one attempt at a time."""
@@ -46,7 +60,9 @@
         self._transport: asyncio.Transport | None = None
         self._poll: Callable[[float], list[tuple[int, int]]]
         self._attempt: Attempt | None = None
+        self._begun = 0.0  # loop time of its latest attempt
         self.idle_since = 0.0
+        self.rests_until = 0.0
         self.written = False
 
     @property
@@ -69,7 +85,7 @@
     def carry(self, attempt: Attempt, now: float) -> None:
         transport = self._transport
         assert transport is not None
-        self._attempt, attempt.connection = attempt, self
+        self._attempt, attempt.connection, self._begun = attempt, self, now
         self._answers.to_head = attempt.message.method == b"HEAD"
         self.written = True  # pause_writing takes it back at once if not all of it leaves
         transport.write(attempt.text(now))
@@ -185,7 +201,8 @@
         """Idle until the next attempt, but not until the host closes it: a request could cross that."""
         host = self._host
         if clean and host.ready and self.usable:
-            self.idle_since = self._pool.now()
+            self.idle_since = now = self._pool.now()
+            self.rests_until = now + min(REST, now - self._begun)
             host.idle.append(self)
         else:
             self.drop()
@@ -337,9 +354,7 @@
             return None
         now = self.now()
         attempt = Attempt(host, message, expires, ended, owner, number, now, began, bar)
-        # The latest used: the longer one has stood idle, the likelier its host has closed it.
-        while host.idle:
-            connection = host.idle.pop()
+        while (connection := host.rested(now)) is not None:
             if connection.quiet():
                 connection.carry(attempt, now)
                 return attempt
