--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -186,6 +186,25 @@
         assert fresh.requests[0].target.endswith(b"from=0")
 
 
+@scenario
+async def test_a_move_before_the_start_makes_one_watch_and_a_stop_ends_it() -> None:
+    """SIGHUP may come first. A second watch would go on with the old service's lists after the next move."""
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + chunk(line(7)))
+
+    lists: list[HostList] = []
+    async with peers(script) as (service,):
+        watch = Discovery(("127.0.0.1", 1), 41, lists.append, PUSHED)
+        watch.move(("127.0.0.1", service.port))
+        watch.start()
+        await until(lambda: lists)
+        await asyncio.sleep(0.05)  # a second one would have asked by now
+        watch.stop()
+        await until(lambda: service.closed == service.connections)
+        assert len(service.requests) == 1
+
+
 @scenario
 async def test_empty_lines_keep_a_watch_alive() -> None:
     async def script(request: Message, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -45,19 +45,22 @@
     proxy.frontend.presence.stop(asyncio.get_running_loop().time() - ago)
 
 
+@pytest.mark.parametrize("other", [{}, {"control": "127.0.0.1:0"}], ids=["without calls", "with calls"])
 @scenario
-async def test_sighup_before_the_program_can_act_on_it_is_acted_on_later(tmp_path: Path) -> None:
+async def test_sighup_before_the_program_can_act_on_it_is_acted_on_later(
+    tmp_path: Path, other: dict[str, str]
+) -> None:
     """It comes as the configuration is being read, which is the old one still."""
     async with peers(_watch, _watch) as (old, new):
         path = tmp_path / "config.json"
-        before = write(tmp_path, told(old.port)).read_bytes()
+        before = write(tmp_path, told(old.port, **other)).read_bytes()
         path.unlink()
         os.mkfifo(path)
         starting = asyncio.get_running_loop().run_in_executor(None, path.open, "wb")
         async with _program_as_it_stands(tmp_path) as process:
             pipe = await starting  # it has opened the file, and reads
             path.unlink()
-            write(tmp_path, told(new.port))
+            write(tmp_path, told(new.port, **other))
             process.send_signal(signal.SIGHUP)
             with pipe:
                 pipe.write(before)
@@ -66,6 +69,7 @@
             process.send_signal(signal.SIGTERM)
             async with asyncio.timeout(GENEROUS):
                 assert await process.wait() == 0
+        assert (len(old.requests), len(new.requests)) == (0, 1), "one watch, of the new one"
 
 
 @asynccontextmanager
@@ -77,6 +81,20 @@
         yield process
 
 
+@scenario
+async def test_sigterm_twice_before_the_first_list_ends_it_in_order(tmp_path: Path) -> None:
+    async with peers(silent) as (service,), program(tmp_path, told(service.port)) as process:
+        port = await port_of(process)
+        client = await Client.connect(port)
+        assert (await client.ask()).status == 503
+        process.send_signal(signal.SIGTERM)
+        await logged(process, "stopping")
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(GENEROUS):
+            assert await process.wait() == 0
+        client.close()
+
+
 def _has(host: Peer, count: int) -> bool:
     return len(host.requests) == count
 
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -136,6 +136,9 @@
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
+        """Begin, unless a move that came before the start has begun it."""
+        if self._task is not None:
+            return
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     @property
@@ -151,6 +154,7 @@
     def stop(self) -> None:
         if self._task is not None:
             self._task.cancel()  # and with it `over` of the watch, which takes nothing more from this call on
+            self._task = None
 
     def move(self, address: tuple[str, int]) -> None:
         """Watch another service, from its whole list on: a revision means nothing to any other service."""
