Tests that count connections wait until those at rest may be used again

Since connections rest after an answer, three tests that expect one to be used again at once could find it at rest on a slow machine (seen by reading them, not as a failure). They now wait for the rest to be over, and assert the same counts.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -42,6 +42,11 @@
     def _ended(self, attempt: Attempt, outcome: Outcome, answer: Message | None) -> None:
         self.ends.append((outcome, answer))
 
+    async def rested(self) -> None:
+        """Wait until any connection may be used again."""
+        idle = self.upstream._hosts[HOST].idle
+        await until(lambda: all(one.rests_until <= self.upstream.now() for one in idle))
+
     async def outcome(self, message: Message = PAGE) -> Outcome:
         count = len(self.ends)
         assert self.start(message) is not None
@@ -148,6 +153,7 @@
         for count, writer in enumerate((second, first), 1):
             await says()(PAGE, writer)
             await until(lambda: len(sender.ends) == count)  # noqa: B023
+        await sender.rested()
         sender.start()
         await until(lambda: len(host.requests) == 3)
         await says(body=b"again")(PAGE, first)
@@ -176,6 +182,7 @@
         sender = Sender(host.port)
         for _ in range(3):
             assert await sender.outcome() is Outcome.OK
+            await sender.rested()
         assert host.connections == 1
 
 
@@ -337,6 +344,7 @@
         sender = Sender(host.port)
         for _ in range(2):
             assert await sender.outcome() is Outcome.OK
+            await sender.rested()
         assert host.connections == 1
 
 
