Make a call for lists once more soon if its answer broke off, however long it had waited

At fault: Discovery._watch took each call that was out for over 0.5 s without a list for one turned away, also where its answer had begun.

Now an answer that has begun (200) shows that its turn had come; such a call is made once more within 0.3 s. The test has a service break off behind a wait of 0.6 s: TimeoutError without the mend.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,13 +6,14 @@
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import orjson
 import pytest
 
-from tests.peers import Peer, peers, scenario, until
+from tests.peers import GENEROUS, Peer, peers, scenario, until
 from whinrouter.interface import MS, State
-from whinrouter.membership.patience import PUSHED, Patience
+from whinrouter.membership.patience import IN_LINE, PUSHED, Patience
 from whinrouter.net import discovery
 from whinrouter.net.discovery import Discovery, read_list
 from whinrouter.net.hosts import HostList, number
@@ -227,6 +228,23 @@
         await until(lambda: lists)
 
 
+@scenario
+async def test_a_call_that_was_broken_off_behind_its_wait_is_made_once_more_soon() -> None:
+    """Its turn had come: only who had no answer at all, or a refusal, comes back when the line is shorter."""
+
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        if len(service.requests) > 1:
+            writer.write(HEAD + chunk(line(42)))
+            return
+        await asyncio.sleep(IN_LINE + 0.1)
+        writer.write(HEAD + chunk(line(42)[:10]))
+        writer.close()
+
+    patience = replace(QUICK, first=GENEROUS, turned_away=100 * GENEROUS, most_pause=100 * GENEROUS)
+    async with peers(script) as (service,), watching(service, patience=patience) as lists:
+        await until(lambda: lists)
+
+
 @scenario
 async def test_a_fault_does_not_end_the_watching(monkeypatch: pytest.MonkeyPatch) -> None:
     class Faulty(discovery._Watching):
--- a/whinrouter/membership/patience.py
+++ b/whinrouter/membership/patience.py
@@ -40,7 +40,7 @@
 ONCE_MORE = 0.3  # seconds within which a call that was broken off is made once more: it may have 2 s to wait
 JITTER = 0.5  # a pause after what failed at once is at least this part of what it may be
 SPREAD = 0.05  # and one of those who were turned away, whose point is to be spread
-IN_LINE = 0.5  # seconds: a call that took longer and came to nothing has stood in a line
+IN_LINE = 0.5  # seconds: a call that took longer and had no answer, or a refusal, has stood in a line
 
 
 @dataclass(frozen=True, slots=True)
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -63,6 +63,7 @@
         self._transport: asyncio.Transport | None = None
         self._due: asyncio.TimerHandle | None = None
         self._first, self._silence = first, silence
+        self.answers = False  # an answer that is none of a refusal has begun: its turn has come
         self._told = False  # a whole list has come, or an empty line
         self.over: asyncio.Future[str] = self._loop.create_future()
 
@@ -86,6 +87,7 @@
     def on_headers_complete(self) -> None:
         if self._parser.get_status_code() != 200:
             raise ValueError(f"discovery answered {self._parser.get_status_code()}")
+        self.answers = True
 
     def on_body(self, data: bytes) -> None:
         for text in self._texts.feed(data):
@@ -194,7 +196,8 @@
             why = await watching.over
         finally:
             watching.end("stopped")
-        return why, not self._listed and loop.time() - asked_at > IN_LINE
+        in_line = not self._listed and not watching.answers
+        return why, in_line and loop.time() - asked_at > IN_LINE
 
     def _text(self, text: bytes) -> None:
         # Raises on a bad list, which ends the watch: what it held would be missing from the list for good.
