Give whoever takes a long answer 20 s to show it, as slow readers show nothing for 16 s

Of what ends an answer under way, hosts' ends and cancels leave a stream alone (read from the code); what is left is Flow.overdue, which gives up a reader of whom the system has acknowledged nothing from one look to the next, 10 s later. A probe on loopback, with readers that never rest: at 32 kB/s, the rate that is held to be honest, the longest time with nothing acknowledged was 16.3 s after a fast start of 30 MB, 12.3 after 8 MB, 6.2 after 1 MB; at 64 kB/s 5.1 to 6.0 s, so that a reader held up by a busy machine passes 10 s too.

The sink's time is a figure of its own now, 20 s; a host's stays at 10.

--- a/whinrouter/streaming/flow.py
+++ b/whinrouter/streaming/flow.py
@@ -15,7 +15,7 @@
 
 Who moves nothing is found by `overdue`: the source has `GRACE` seconds and what its bytes have earned at
 `FLOOR`, and never more than `GRACE` ahead, so that neither silence nor a trickle holds a place; while the
-sink has enough the time is the sink's, which has `STALL`. Times are seconds of one clock; it reads none.
+sink has enough the time is the sink's, which has `TAKES`. Times are seconds of one clock; it reads none.
 """
 
 from __future__ import annotations
@@ -27,7 +27,11 @@
 # Bytes a second that a client's body comes with at least: half of what the slowest honest one is known for.
 FLOOR = 32_000.0
 GRACE = 2.0  # seconds of silence that a client may have
-STALL = 10.0  # and a host, or whoever takes what is passed on: long waits of theirs were within a few seconds
+STALL = 10.0  # and a host: long waits of theirs were within a few seconds
+# Seconds in which whoever takes what is passed on shows that it does. A system tells that its program has
+# read only once a sixteenth of its buffer is free again, and the buffer grows with what was once read fast:
+# readers at `FLOOR` showed nothing for 16.3 s at the most (12.3 and 6.2 with smaller ones, 6.0 at twice that).
+TAKES = 20.0
 
 
 class Source(Protocol):
@@ -152,7 +156,7 @@
 
     def full(self, now: float) -> None:
         """The sink has enough for now."""
-        self._full, self._due = True, now + STALL
+        self._full, self._due = True, now + TAKES
         self._settle(now)
 
     def room(self, now: float) -> None:
@@ -196,9 +200,9 @@
         if not self._full or self._sink is None:
             return True
         # The system takes more only once a good part of what it holds is gone, some megabytes: a reader of
-        # 64 kB a second took longer over that than STALL, and was cut off though it read all the time.
+        # 64 kB a second took longer over that, and was cut off though it read all the time.
         before, self._taken = self._taken, self._sink.taken()
         if self._taken <= before:
             return True
-        self._due = now + STALL
+        self._due = now + TAKES
         return False
