Ask again soon each time an answer with the list breaks off, doubling from 0.3 s

At fault: Patience.pause made a call once more soon only the first time. An answer that breaks off tells of no line, however often.

Now pauses double from 0.3 s for as long as answers break off. The test has three of them in a row, each behind a wait: TimeoutError without the mend.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -229,18 +229,19 @@
 
 
 @scenario
-async def test_a_call_that_was_broken_off_behind_its_wait_is_made_once_more_soon() -> None:
+async def test_a_call_that_breaks_off_behind_its_wait_is_made_again_soon_each_time() -> None:
     """Its turn had come: only who had no answer at all, or a refusal, comes back when the line is shorter."""
 
     async def script(request: Message, writer: asyncio.StreamWriter) -> None:
-        if len(service.requests) > 1:
+        if len(service.requests) > 3:
             writer.write(HEAD + chunk(line(42)))
             return
         await asyncio.sleep(IN_LINE + 0.1)
         writer.write(HEAD + chunk(line(42)[:10]))
         writer.close()
 
-    patience = replace(QUICK, first=GENEROUS, turned_away=100 * GENEROUS, most_pause=100 * GENEROUS)
+    long = 100 * GENEROUS  # for all who had no answer
+    patience = replace(QUICK, first=GENEROUS, turned_away=long, most_pause=long, least_pause=long)
     async with peers(script) as (service,), watching(service, patience=patience) as lists:
         await until(lambda: lists)
 
--- a/whinrouter/membership/patience.py
+++ b/whinrouter/membership/patience.py
@@ -26,7 +26,8 @@
 `TOLD` seconds after its last byte, or 2 s after its next call came to nothing. A process cannot know whether
 the one before it had a watch. So it asks within `STARTS` seconds, as a start takes a few of the `TOLD`; those
 that were dropped leave a third of the service's calls to such as these; and a call that was broken off,
-which tells of no line, is made once more within `ONCE_MORE`. After that pauses double.
+which tells of no line, is made once more within `ONCE_MORE`. After that pauses double, for answers that
+break off again from there, as their turn had come; for all else from `least_pause`.
 """
 
 from __future__ import annotations
@@ -63,16 +64,16 @@
         """How long a process waits that has a list of old."""
         return random.uniform(0.0, self.start)
 
-    def pause(self, failed: int, full: bool, random: Random) -> float:
+    def pause(self, failed: int, full: bool, random: Random, broke: bool = False) -> float:
         """How long to wait before the next try, after so many in a row that brought no line.
 
-        `full`: the last one stood in a line to no end.
+        `full`: the last one stood in a line to no end. `broke`: its answer had begun, and broke off.
         """
         doubled: float = 2.0 ** min(failed, 16)
         if full and self.turned_away:
             return min(self.most_pause, self.turned_away * doubled / 2) * random.uniform(SPREAD, 1)
-        if failed == 1:
-            return min(self.most_pause, ONCE_MORE) * random.uniform(JITTER, 1)
+        if failed == 1 or (failed and broke):
+            return min(self.most_pause, ONCE_MORE * doubled / 2) * random.uniform(JITTER, 1)
         return min(self.most_pause, self.least_pause * doubled) * random.uniform(JITTER, 1)
 
 
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -169,18 +169,21 @@
         if self._listed:
             await asyncio.sleep(self.patience.first_pause(self._random))
         while True:
-            self._listed, full = False, False
+            self._listed, full, broke = False, False, False
             try:
-                why, full = await self._watch()
+                why, full, broke = await self._watch()
                 log.info("discovery: %s; asking again", why)
             except Exception:  # without a watch, hosts that drain would go unnoticed for good
                 log.exception("discovery: failed; asking again")
             self._failed = 0 if self._listed else self._failed + 1
             # Jittered, so that gateways which lost discovery together do not all come back at once.
-            await asyncio.sleep(self.patience.pause(self._failed, full, self._random))
+            await asyncio.sleep(self.patience.pause(self._failed, full, self._random, broke))
 
-    async def _watch(self) -> tuple[str, bool]:
-        """Follow one watch to its end; return why, and whether its call stood in a line to no end."""
+    async def _watch(self) -> tuple[str, bool, bool]:
+        """Follow one watch to its end; return why, and what came of its call if it brought no list.
+
+        That is whether it stood in a line to no end, and whether its answer had begun.
+        """
         host, port = self._address
         path = f"/discovery/hosts?watch=1&from={self._revision}"
         loop, patience = asyncio.get_running_loop(), self.patience
@@ -191,13 +194,14 @@
             async with asyncio.timeout(patience.connect):
                 await loop.create_connection(lambda: watching, host, port)
         except (OSError, TimeoutError) as error:
-            return f"no connection ({error or 'too slow'})", False
+            return f"no connection ({error or 'too slow'})", False, False
         try:
             why = await watching.over
         finally:
             watching.end("stopped")
-        in_line = not self._listed and not watching.answers
-        return why, in_line and loop.time() - asked_at > IN_LINE
+        if self._listed or watching.answers:
+            return why, False, not self._listed
+        return why, loop.time() - asked_at > IN_LINE, False
 
     def _text(self, text: bytes) -> None:
         # Raises on a bad list, which ends the watch: what it held would be missing from the list for good.
