Do not cut the last part of a long answer as its connection counts as idle

Looked for: who ends a client's connection without a line in the log. At fault: Frontend._sweep and _Client.run_out.

One whose last answer was passed on, and that is owed a part of it, is now kept for as long as any reader may take. Answers that are held whole keep their time, as they fit what the system takes.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -58,8 +58,8 @@
         """It has left as far as anybody can tell, though it reads on."""
         self._socket.shutdown(socket.SHUT_WR)
 
-    async def read(self) -> bytes:
-        return await asyncio.get_running_loop().sock_recv(self._socket, 1 << 20)
+    async def read(self, most: int = 1 << 20) -> bytes:
+        return await asyncio.get_running_loop().sock_recv(self._socket, most)
 
 
 class RawHost:
@@ -215,6 +215,31 @@
         await _serves_on(proxy)
 
 
+@scenario
+async def test_the_last_part_of_a_long_answer_is_not_cut_off_as_its_connection_is_idle() -> None:
+    """All of it has come from the host; its slow reader takes the rest after the time to be idle is over."""
+    size = 2_000_000
+    async with peers(says(body=bytes(size))) as (host,), running(host.member()) as proxy:
+        client = RawClient(proxy.port, room=4096)
+        client.send(request_text())
+        await until(lambda: proxy.frontend.connections)
+        (one,) = proxy.frontend.connections
+        assert one._transport is not None
+        one._transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        got = 0
+        while not one._long:
+            got += len(await client.read(4096))
+        assert one.owed
+        one.due = asyncio.get_running_loop().time()
+        proxy.frontend._sweep()
+        while data := await client.read():
+            got += len(data)
+            if got > size:
+                one.due = 0.0
+        assert got > size
+        await _quiet(proxy)
+
+
 def _no_connection(monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
     """No connection to a host comes up before this is set."""
     gate = asyncio.Event()
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -34,7 +34,7 @@
 from whinrouter.net.sockets import acknowledged, age, end, left, reset, unread
 from whinrouter.operations.presence import Presence
 from whinrouter.ownlimit import OwnLimit
-from whinrouter.streaming.flow import FLOOR, GRACE, Flow
+from whinrouter.streaming.flow import FLOOR, GRACE, TAKES, Flow
 
 log = logging.getLogger(__name__)
 
@@ -311,6 +311,7 @@
         self._out: Flow | None = None  # of its answer, while it is passed on
         self._chunked = False  # and how
         self._newer = True  # it speaks HTTP/1.1
+        self._long = False  # its last answer was passed on, and a part of it may be here still
         self._quit = 0.0  # loop time until which a body that nobody wants is read
         self._loop = asyncio.get_running_loop()
         self._requests.clock = self._loop.time
@@ -477,7 +478,7 @@
 
     def took_all(self) -> None:
         """The answer is whole."""
-        self._out = None
+        self._out, self._long = None, True
         if self._in is None:
             self._front.streaming.discard(self)
         if self._chunked and self._transport is not None and not self._transport.is_closing():
@@ -592,6 +593,7 @@
                 self._count()
             self._busy = True
             self._front.waiting.pop(self, None)
+            self._long = False
             self._close = self._close or not message.keep_alive
             self._newer, self._own = message.newer, message.rest
             try:
@@ -711,7 +713,12 @@
             self._transport.write(write_answer(answer.status, answer.headers, answer.body, self._close))
 
     def run_out(self) -> None:
-        """It has waited long enough: for a request, the rest of one, or its last answer to be read."""
+        """It has waited long enough: for a request, the rest of one, or its last answer to be read.
+
+        Of a long answer a slow reader may have a last part to come for as long as any takes.
+        """
+        if self._long and self.owed and self._loop.time() < self.due + TAKES:
+            return
         if self._requests.began and not self._deaf:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
