--- a/benchmarks/reading.py
+++ b/benchmarks/reading.py
@@ -4,7 +4,7 @@
     python -m benchmarks.reading --quick    15 s, which finds no gap longer than that
 
 Each reader takes some of an endless answer as fast as it comes, so that its system gives it a large buffer,
-and the rest at its rate, ten times a second. Shown is the longest time in which no byte more was acknowledged.
+and the rest at its rate, ten times a second. Shown is the longest time without a byte more acknowledged.
 """
 
 from __future__ import annotations
