Hold when a keyed request's attempts are to begin once for the request, not for each

Found on reading the change again: the list of moments, one for each attempt, can be had from the last one told. While an earlier attempt is still to begin it is the first that may have run, so a later send names the same moment; if it never ran, it is to begin no more. One number in the place of a list for each request; the tests of begins and rules pass as they were.

--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -72,7 +72,7 @@
     """A request with its answer owed, or attempts out."""
 
     __slots__ = (
-        "begins",
+        "begins_by",
         "deadline",
         "gone",
         "message",
@@ -103,9 +103,8 @@
         self.timer: Timer | None = None
         self.spared = False  # its time was up while an answer lay unread
         self.sent: list[Attempt | None] = []  # by number; None once it has ended
-        # Likewise, when each is to have begun if another may have run; 0: any time.
-        self.begins: list[int] = []
         self.never_ran = 0  # how many of them have ended so
+        self.begins_by = 0  # when all are to have begun if another may have run; 0: any time
         self.patience = (
             0  # microseconds that its client waits from the end of its body, if that is to come yet
         )
@@ -298,7 +297,7 @@
         _, server, expires, begins_by = action
         number = len(held.sent)
         held.sent.append(None)
-        held.begins.append(begins_by)
+        held.begins_by = begins_by
         until = min(expires, held.deadline) if expires else held.deadline
         if self._attempt_time and not held.comes:
             until = min(until, now + self._attempt_time)
@@ -327,9 +326,9 @@
         held: _Held = attempt.owner
         if self._left(held):
             return Outcome.CANCELLED
-        begins_by, others = held.begins[attempt.number], len(held.sent) - held.never_ran > 1
-        late = self._loop.time() >= attempt.expires or (0 < begins_by <= self.clock.now() and others)
-        return Outcome.NOT_SENT if late else None
+        others = len(held.sent) - held.never_ran > 1
+        forgotten = others and 0 < held.begins_by <= self.clock.now()
+        return Outcome.NOT_SENT if forgotten or self._loop.time() >= attempt.expires else None
 
     def _left(self, held: _Held) -> bool:
         """Whether nobody waits for a request any more. One whose client has left is over with this look."""
