Read on what a refused upload still sends, at the rate of its bytes; 503 past the limit

Ruled out: the floor on rates and the deadline, as each of these connections had its answer already.

Change: such a client has the time that its bytes earn (RateFloor, which Flow and bodies up to 64 KiB use too), to the body's end or 40 MiB; what is dropped costs no memory. It goes first where no idle connection can make room, and no sooner. The same holds behind a rejection (0.5 s before, whatever still came) and for a request of an unknown class. A body is not overdue while something of it lies unread here.

--- a/benchmarks/leaving.py
+++ b/benchmarks/leaving.py
@@ -5,7 +5,7 @@
 
 A gateway in a process of its own; clients and hosts are here, on real sockets. Each place is a way to wait:
 the peers bring it about from outside, so that what is built is measured, whichever way it is built. A case
-counts if its request had not been sent on as its client left; late is what a host hears of it more than 0.3 s
+counts if its request had not been sent on as its client left; late is what a host hears of it more than 0.1 s
 after that.
 """
 
@@ -29,7 +29,7 @@
 
 from benchmarks.farm import ROOT, free_port, gateway_command
 
-LATE = 0.3  # seconds, of the operators' term
+LATE = 0.1  # seconds, of the operators' term
 CLASSES = [
     {"name": "read", "effect": "idempotent", "giveUp": 20_000_000, "onTime": 400_000, "worth": 3.0},
     {"name": "buy", "effect": "at_most_once", "giveUp": 20_000_000, "onTime": 400_000, "worth": 8.0},
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,75 @@
+"""Idle clients may fill the descriptors: what the gateway needs for itself is held back for it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import resource
+from pathlib import Path
+
+import pytest
+
+from tests.control.test_calls import ask, operated
+from tests.peers import Client, Peer, peers, reset, says, scenario, until
+from tests.test_discovery import HEAD, chunk, line
+from tests.test_program import is_up, told
+from whinrouter.net.http import Message
+from whinrouter.program import RESERVED
+
+DESCRIPTORS = 128
+FOR_HOSTS = (DESCRIPTORS - RESERVED) // 2  # held back for connections to hosts
+CROWD = 3 * DESCRIPTORS
+
+
+@pytest.mark.parametrize("sends", [b"", b"GET /page-read HTTP/1.1\r\nX-Request"])
+@scenario
+async def test_idle_clients_fill_the_descriptors_while_discovery_is_down(
+    tmp_path: Path, sends: bytes
+) -> None:
+    """Once it is back, the watch opens, hosts are reached, clients served and operators answered."""
+    down = True
+
+    async def discovery(request: Message, writer: asyncio.StreamWriter) -> None:
+        if down:
+            reset(writer)
+        else:
+            writer.write(HEAD + chunk(line(42, host.entry())))
+
+    async with peers(says(), discovery) as (host, service):
+        config = told(service.port, limits={"cores": 1.0, "memory_mb": 192, "sockets": DESCRIPTORS})
+        async with operated(tmp_path, config) as (process, port, control):
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+            stop = asyncio.Event()
+            crowd = asyncio.create_task(_crowd(port, sends, process.pid, stop))
+            await until(lambda: len(service.requests) > 3)
+            assert (await ask(control, "HEALTH")).startswith(("+OK", "-ERR"))
+            down = False
+            await until(lambda: _watched(service))
+            while await is_up(port) != 200:
+                await asyncio.sleep(0.01)
+            client = await Client.connect(port)
+            assert (await client.ask()).status == 200
+            assert (await ask(control, "HEALTH")).startswith("+OK")
+            stop.set()
+            assert await crowd <= DESCRIPTORS - FOR_HOSTS
+
+
+def _watched(service: Peer) -> bool:
+    return any(not writer.is_closing() for writer in service.writers)
+
+
+async def _crowd(port: int, sends: bytes, process: int, stop: asyncio.Event) -> int:
+    """Keep as many connections open as the gateway lets; return the most descriptors that it held."""
+    held: list[Client] = []
+    most = 0
+    while not stop.is_set():
+        held = [client for client in held if not client.writer.is_closing()]
+        while len(held) < CROWD and not stop.is_set():
+            client = await Client.connect(port)
+            client.writer.write(sends)
+            held.append(client)
+            most = max(most, len(os.listdir(f"/proc/{process}/fd")))
+        await asyncio.sleep(0.01)
+    for client in held:
+        client.close()
+    return most
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -294,7 +294,7 @@
     async with _left_half_here(how, monkeypatch) as (host, proxy, gate):
         (one,) = proxy.frontend.connections
         assert one._in is not None
-        one._in._due = 0.0
+        one._in._pace.due = 0.0
         await until(lambda: not proxy.frontend.connections)  # two sweeps: its answer lingers
         gate.set()
         await _quiet(proxy)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -4,12 +4,18 @@
 
 import asyncio
 import contextlib
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 
 from tests.peers import (
+    SETTINGS,
     Client,
+    Running,
     ask_and_never_read,
+    change,
     listing,
     peers,
     request_text,
@@ -22,6 +28,7 @@
 )
 from whinrouter.interface import MS
 from whinrouter.net import frontend
+from whinrouter.net.frontend import MAX_SURPLUS
 from whinrouter.net.http import RequestReader
 
 
@@ -171,19 +178,55 @@
         assert proxy.frontend.buffered == 0
 
 
-@scenario
-async def test_over_the_limit_a_connection_is_closed_at_once() -> None:
-    async with peers(silent) as (host,), running(host.member(), limit=2) as proxy:
+@asynccontextmanager
+async def _at_the_limit(limit: int = 2) -> AsyncIterator[Running]:
+    """A gateway whose clients all have requests that no host answers."""
+    advising = replace(SETTINGS, retry_after=True)
+    async with peers(silent) as (host,), running(host.member(), settings=advising, limit=limit) as proxy:
         busy: list[Client] = []
-        for _ in range(2):  # each at work before the next comes: an idle one would make room
+        for _ in range(limit):  # each at work before the next comes: an idle one would make room
             busy.append(await proxy.client())
             busy[-1].writer.write(request_text())
             await until(lambda: len(host.requests) == len(busy))
+        yield proxy
+        assert proxy.gateway.holds == limit
+        assert len(host.requests) == limit
+
+
+@pytest.mark.parametrize("class_name", ["page-read", "chapter-buy"])
+@scenario
+async def test_over_the_limit_a_request_is_refused_with_an_answer(class_name: str) -> None:
+    async with _at_the_limit() as proxy:
+        for _ in range(2 * MAX_SURPLUS):
+            client = await proxy.client()
+            answer = await client.ask(class_name)
+            assert answer.status == 503
+            assert float(answer.get(b"retry-after") or 0) > 0
+            assert not answer.keep_alive
+            assert await client.rest() == b""
+        await until(lambda: len(proxy.frontend.connections) == 2)
+        assert not proxy.frontend.surplus
+
+
+@scenario
+async def test_over_the_limit_a_connection_that_sends_nothing_is_closed_soon() -> None:
+    async with _at_the_limit() as proxy:
         with contextlib.suppress(ConnectionError):
             assert await (await proxy.client()).rest() == b""
         await until(lambda: len(proxy.frontend.connections) == 2)
 
 
+@scenario
+async def test_far_over_the_limit_a_connection_is_closed_at_once() -> None:
+    async with _at_the_limit() as proxy:
+        change(proxy.frontend, "_make_room", lambda gives_way: False)
+        waiting = [await proxy.client() for _ in range(MAX_SURPLUS)]
+        await until(lambda: len(proxy.frontend.surplus) == MAX_SURPLUS)
+        with contextlib.suppress(ConnectionError):
+            assert await (await proxy.client()).rest() == b""
+        assert (await waiting[-1].ask()).status == 503
+
+
 @scenario
 async def test_those_who_send_nothing_keep_nobody_out() -> None:
     async with peers(says()) as (host,), running(host.member(), limit=3) as proxy:
--- a/whinrouter/net/connect.py
+++ b/whinrouter/net/connect.py
@@ -15,7 +15,7 @@
 log = logging.getLogger(__name__)
 
 BACKLOG = 512  # connections that wait in the system for their turn
-ACCEPTED_AT_ONCE = 16  # each takes a descriptor before anyone can count it
+ACCEPTED_AT_ONCE = 4  # each takes a descriptor before anyone can count it
 # Turns of the loop from an accept to the connection's first call; a server closed before that loses it.
 ACCEPT_TURNS = 3
 ACCEPT_REST = 0.5  # seconds for taking what waits to be accepted when the listener closes
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -22,7 +22,9 @@
 from whinrouter.net.gateway import MARGIN, Answer, Asked, Gateway
 from whinrouter.net.http import (
     LAST_CHUNK,
+    MAX_LENGTH,
     BadMessageError,
+    Headers,
     Message,
     Reading,
     RequestReader,
@@ -34,7 +36,7 @@
 from whinrouter.net.sockets import acknowledged, age, end, left, reset, unread
 from whinrouter.operations.presence import Presence
 from whinrouter.ownlimit import OwnLimit
-from whinrouter.streaming.flow import FLOOR, GRACE, TAKES, Flow
+from whinrouter.streaming.flow import FLOOR, GRACE, TAKES, Flow, RateFloor
 
 log = logging.getLogger(__name__)
 
@@ -56,9 +58,9 @@
 IDLE_PART = 0.5
 MAX_PLAIN = 4096  # bytes of a request that may be refused without being parsed
 COME_BACK = (0.2, 0.6)  # seconds after which those are to come back, spread: some intervals of ownlimit.py
-LINGER = 0.5  # seconds for which a client may go on sending what was rejected
-# And for which one may go on with a body whose request has its answer already, before its connection ends.
-LINGER_BODY = 3.0
+# Seconds for which a client may go on sending what was rejected, before its bytes earn it more (`RateFloor`).
+# To close at once would reset a client that still sends, and its answer with it.
+LINGER = 0.5
 SWEEP_EVERY = 0.25  # seconds between looks at who is overdue
 # Seconds that a request needs to be sent on at all, of a process that is ended soon: its answer's way, and as
 # much for the host.
@@ -68,6 +70,10 @@
 # Connections that are looked at to make room for one. Those with something unread go to the end of the line,
 # so that a crowd of them costs each newcomer no more than these few looks.
 LOOKS = 8
+# Connections past the limit that are kept for one request each, to refuse it with an answer: a bare close
+# leaves a client to guess whether its request was heard. Their descriptors are reserved (RESERVED in
+# program.py).
+MAX_SURPLUS = 8
 _FRAMED = re.compile(
     rb"\n(?:content-length|transfer-encoding|expect|upgrade|connection)[ \t]*:", re.IGNORECASE
 )
@@ -114,6 +120,7 @@
         self._former: dict[bytes, tuple[RequestClass, float]] = {}
         self.limit = limit  # connections at most
         self.connections: set[_Client] = set()
+        self.surplus: set[_Client] = set()  # those of them that are past the limit
         # Those with no request in work, in the order in which they make room for others.
         self.waiting: OrderedDict[_Client, None] = OrderedDict()
         # Those with a body on its way, in either direction.
@@ -189,18 +196,27 @@
         something waits unread: it may be a whole request, which ending its connection would lose.
         """
         if len(self.connections) >= self.limit:
-            if not self._make_room(lambda other: other.gives_way):
+            made_room = self._make_room(lambda other: other.idle)
+            if not (made_room or self._make_room(lambda other: other.gives_way)):
                 return False
         elif len(self.connections) >= IDLE_PART * self.limit:
             self._make_room(lambda other: other.idle)
         self.connections.add(client)
         return True
 
+    def admit_surplus(self, client: _Client) -> bool:
+        """Keep a connection past the limit for one request that is to be refused, if few are kept so."""
+        if len(self.surplus) >= MAX_SURPLUS:
+            return False
+        self.surplus.add(client)
+        self.connections.add(client)
+        return True
+
     def _make_room(self, gives_way: Callable[[_Client], bool]) -> bool:
         """Close the one that has waited longest of those that may go; False if none of the first few may."""
         may_go = (other for other in self.waiting if gives_way(other) and not other.owed)
         for other in list(islice(may_go, LOOKS)):
-            if other.dispensable:
+            if other.dispensable or other.lingering:
                 other.drop()
                 return True
             self.waiting.move_to_end(other)
@@ -222,10 +238,13 @@
 
     def turned_away(self) -> bytes:
         """The answer to a request that waited too long unread: nobody has heard of it."""
+        return write_answer(HTTPStatus.SERVICE_UNAVAILABLE, self.advice(), b"", True)
+
+    def advice(self) -> Headers:
+        """When whoever is refused for want of room is to come back, if the settings let that be said."""
         if not self._advises:
-            return write_answer(503, [], b"", True)
-        after = self._random.uniform(*COME_BACK)
-        return write_answer(503, [(b"retry-after", b"%.3f" % after)], b"", True)
+            return []
+        return [(b"retry-after", b"%.3f" % self._random.uniform(*COME_BACK))]
 
     def asked(self, message: Message) -> Asked:
         """What a request asks for; BadMessageError if it asks for nothing that there is."""
@@ -318,7 +337,8 @@
         self._chunked = False  # and how
         self._newer = True  # it speaks HTTP/1.1
         self._long = False  # its last answer was passed on, and a part of it may be here still
-        self._quit = 0.0  # loop time until which a body that nobody wants is read
+        self._lingering = False  # its answer is out, and what still comes of its body is read and dropped
+        self._dropped = 0  # bytes that came after what was rejected
         self._loop = asyncio.get_running_loop()
         self._requests.clock = self._loop.time
         self._transport: asyncio.Transport | None = None
@@ -329,11 +349,13 @@
         self._close = False  # after the answer that is due
         self._deaf = False  # whatever comes now is not read any more
         self._crowded = False  # it sent too much ahead
+        self._surplus = False  # it came at the limit of connections: its one request is refused
         self._unread = False  # the client does not take what was written to it
         self._descriptor = -1
         self._silent = True  # nothing has come yet
         self._begun = 1  # the message whose time to come runs: the first, from the connection's start
         self._bodied = 0  # the message whose body has begun
+        self._pace = RateFloor(0.0)  # of that body, or of what is dropped
         self._counted = 0  # its part of what all have buffered
         self.since = 0.0  # loop time from which it waits
         self.due = 0.0  # and at which it has waited long enough
@@ -346,6 +368,9 @@
             self._front.door.clients.add(self._descriptor)
         if self._front.admit(self):
             self._wait(RECEIVE_TIME)
+        elif self._front.admit_surplus(self):
+            self._surplus = self._close = True
+            self._wait(LINGER)
         else:
             self._deaf = True
             transport.abort()
@@ -360,6 +385,11 @@
         """Bytes of its last answer that the system has not taken yet."""
         return self._transport.get_write_buffer_size() if self._transport is not None else 0
 
+    @property
+    def lingering(self) -> bool:
+        """Whether its answer is out, and what still comes of its request is dropped."""
+        return self._lingering
+
     @property
     def gives_way(self) -> bool:
         """Whether ending it loses no request that is whole, as far as was read."""
@@ -378,6 +408,7 @@
 
     def received(self, data: memoryview) -> None:
         if self._deaf:
+            self._drop_input(len(data))
             return
         reader = self._requests
         came = self._came(data)
@@ -395,19 +426,23 @@
         if reader.size or self._counted or len(self._queued) > 1:  # else all of it begins now, or is idle
             self._count()
         if reader.error is not None:
-            if self._quit:  # its answer is out: what it was to is no matter any more
-                self._part()
-            elif self._out is not None:  # a part of an answer has gone out, and the rest of it is due
-                self._stop_reading()
-                self._close = True
-            else:
-                self._reject(reader.error.status)
+            self._broken_input(reader.error.status)
         elif len(self._queued) > MAX_QUEUED or self._front.overfull:
             self._turn_away()
         else:
             self._next()
             self._note_begun(len(data))
 
+    def _broken_input(self, status: HTTPStatus) -> None:
+        """Nothing that follows can be told apart."""
+        if self._lingering:  # its answer is out: what it was to is no matter any more
+            self._part()
+        elif self._out is not None:  # a part of an answer has gone out, and the rest of it is due
+            self._stop_reading()
+            self._close = True
+        else:
+            self._reject(status)
+
     def _came(self, data: memoryview) -> float | None:
         """The loop time at which these bytes were here; None if nothing more is to be done with them."""
         assert self._transport is not None
@@ -449,7 +484,7 @@
         self._in = None
         if self._out is None:
             self._front.streaming.discard(self)
-        if self._quit:  # its answer is long out
+        if self._lingering:
             self._part()
         elif body is self._own and self._request is not None:
             self._front.gateway.whole(self._request)
@@ -503,16 +538,22 @@
         return acknowledged(self._transport) if self._transport is not None else -1
 
     def stuck(self, now: float) -> bool:
-        """Whether a body on its way is not moved, or one that nobody wants still comes."""
-        return any(flow.overdue(now) for flow in (self._in, self._out) if flow is not None) or (
-            0.0 < self._quit <= now
-        )
+        """Whether a body on its way is not moved."""
+        return self._sends_too_slowly(now) or (self._out is not None and self._out.overdue(now))
+
+    def _sends_too_slowly(self, now: float) -> bool:
+        """Whether the body that comes is overdue; with something unread the loop is late, not the client."""
+        body = self._in
+        if body is None or not body.overdue(now):
+            return False
+        loop_is_late = not body.held and self._transport is not None and unread(self._transport)
+        return not loop_is_late or body.overdue(now - self._front.longest)
 
     def give_up(self) -> None:
         """The client does not send its body, or take its answer, or the host does not give it."""
         self._front.streaming.discard(self)
         log.warning("a body is not moved any more: to the client %s, from it %s", self._out, self._in)
-        if self._out is None and self._in is not None and not self._quit:
+        if self._out is None and self._in is not None:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
             self.drop()
@@ -523,16 +564,20 @@
         self._counted = held
 
     def _note_begun(self, came: int) -> None:
-        if self._busy or self._quit or not self._requests.began:
+        if self._lingering:
+            self._extend(came)
+        if self._busy or self._lingering or not self._requests.began:
             return
         now = self._loop.time()
         if self._requests.count > self._begun:
             self._begun = self._requests.count
             self._wait(RECEIVE_TIME)
         elif self._requests.in_body:
-            earned = came / FLOOR if self._bodied == self._begun else GRACE
-            self._bodied = self._begun
-            self.due = min(now + GRACE, max(self.due, now) + earned)
+            if self._bodied == self._begun:
+                self._pace.earn(came, now)
+            else:
+                self._bodied, self._pace = self._begun, RateFloor(now)
+            self.due = self._pace.due
         if self._requests.waits_for_leave and self._transport is not None:
             self._requests.waits_for_leave = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -557,15 +602,28 @@
             with contextlib.suppress(OSError):  # the client reset it while it was not read
                 self._transport.write_eof()
             self._wait(LINGER)
-            self._front.waiting.move_to_end(self, last=False)
+            self._front.waiting.move_to_end(self, last=False)  # the first to make room
+            self._pace.due = self.due
 
     def _refuse(self, status: HTTPStatus) -> None:
-        """A request that can't be taken: its own body, if it is to come yet, is not read any more."""
-        body, self._in = self._in, None
-        if body is not None:
-            self._front.streaming.discard(self)
-            body.discard(self._loop.time())
-        self._reject(status)
+        """A request that can't be taken; its body, if that is to come yet, is read and dropped."""
+        if self._early:
+            self._close = True
+            self._finish(Answer(status))
+            self._linger()
+        else:
+            self._reject(status)
+
+    def _drop_input(self, count: int) -> None:
+        """Bytes came behind what was rejected: a client that still sends has not read its answer yet."""
+        self._dropped += count
+        if self._dropped <= MAX_LENGTH:
+            self._extend(count)
+
+    def _extend(self, count: int) -> None:
+        """Give a client that still sends what nobody wants the time that so many bytes earn."""
+        self._pace.earn(count, self._loop.time())
+        self.due = self._pace.due
 
     def _turn_away(self) -> None:
         """It sends more than may wait. What is in work may have run: only its own answer will do for that."""
@@ -615,6 +673,9 @@
             self._reply(Answer(HTTPStatus.OK if self._front.ready else HTTPStatus.SERVICE_UNAVAILABLE))
             return
         front = self._front
+        if self._surplus:
+            self._reply(Answer(HTTPStatus.SERVICE_UNAVAILABLE, front.advice()))
+            return
         asked = front.asked(message)
         name = asked.name
         if name in front.open_ids:
@@ -663,10 +724,19 @@
         self._rest_after()
 
     def _linger(self) -> None:
-        """Read and drop what still comes of a body that has its answer; then part."""
-        self._quit = self._loop.time() + LINGER_BODY
+        """Read and drop what still comes of a body whose request has its answer; then close.
+
+        To close at once would reset the connection under a client that still sends, and take with it an
+        answer that was not read yet. The client has the time that its bytes earn (`RateFloor`), until its
+        body has come or is longer than any may be; it makes room for others where there is none left.
+        """
+        now = self._loop.time()
+        self._lingering, self._pace = True, RateFloor(now)
+        self._front.streaming.discard(self)
         if self._own is not None:
-            self._own.discard(self._loop.time())
+            self._own.discard(now)
+        self._wait(GRACE)
+        self._front.waiting.move_to_end(self, last=False)
 
     def _pass_on(self, answer: Answer, rest: Flow) -> None:
         """Its body goes on as it comes."""
@@ -725,7 +795,7 @@
         """
         if self._long and self.owed and self._loop.time() < self.due + TAKES:
             return
-        if self._requests.began and not self._deaf:
+        if self._requests.began and not (self._deaf or self._lingering):
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
             self.drop()
@@ -761,6 +831,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._front.connections.discard(self)
+        self._front.surplus.discard(self)
         if self._front.door is not None:
             self._front.door.clients.discard(self._descriptor)
         self._front.waiting.pop(self, None)
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -35,7 +35,11 @@
 
 log = logging.getLogger("whinrouter")
 
-RESERVED = 40  # descriptors for all that is no client's and no host's connection, or not counted yet
+# Descriptors for all that is no client's and no host's connection, or is not counted yet: the standard
+# streams, the loop, the listeners and the watch on discovery (10), callers (8, `control/shell.py`), clients
+# past the limit (8, `net/frontend.py`), and what is accepted in the turns before it is counted (3 times 4,
+# `net/connect.py`).
+RESERVED = 40
 STILL_ACCEPTING = 0.5  # seconds for which connections go on coming after SIGTERM
 STREAMS_END = 300.0  # seconds for bodies that are passed on at the end: 32 MB at 107 kB/s
 LAG_STEP, LAG_SHOWN = 0.1, 0.05
--- a/whinrouter/streaming/flow.py
+++ b/whinrouter/streaming/flow.py
@@ -34,6 +34,27 @@
 TAKES = 20.0
 
 
+class RateFloor:
+    """The time by which a peer has to have sent more, where it must keep a least rate.
+
+    Each byte earns `1 / floor` seconds, but the peer is never more than `grace` seconds ahead: neither
+    silence nor a trickle holds a connection, and a peer above the floor is never cut off. It reads no clock;
+    times are seconds of the caller's.
+    """
+
+    __slots__ = ("_floor", "_grace", "due")
+
+    def __init__(self, now: float, grace: float = GRACE, floor: float = FLOOR) -> None:
+        """`floor`: bytes a second; 0: any byte earns the whole `grace`."""
+        self._grace, self._floor = grace, floor
+        self.due = now + grace
+
+    def earn(self, count: int, now: float) -> None:
+        """So many bytes have come; that they were read late is not held against the peer."""
+        earned = count / self._floor if self._floor else self._grace
+        self.due = min(now + self._grace, max(self.due, now) + earned)
+
+
 class Source(Protocol):
     """The connection that a body is read from."""
 
@@ -88,18 +109,22 @@
         self._size = 0
         self._full = False  # the sink has enough
         self._held = False  # the source reads no more
-        self._grace, self._floor = grace, floor
-        self._due = now + grace
+        self._grace = grace
+        self._pace = RateFloor(now, grace, floor)
         self._taken = -1  # what the sink's reader had when that was last looked at
 
+    @property
+    def held(self) -> bool:
+        """Whether the source reads no more for now."""
+        return self._held
+
     def __repr__(self) -> str:
         gone = "all here" if self.came else "to come"
         return f"{self.stage.value}, {gone}, {'full' if self._full else 'open'}, {self._size} bytes held"
 
     def put(self, data: bytes, now: float) -> None:
         """The source has read this."""
-        earned = len(data) / self._floor if self._floor else self._grace
-        self._due = min(now + self._grace, self._due + earned)
+        self._pace.earn(len(data), now)
         if self.stage is Stage.FLOWING and not self._full and self._sink is not None:
             self.begun = True
             self._sink.take(data)
@@ -112,10 +137,10 @@
         """Hold the source while more would have to be kept, and no longer."""
         hold = self._full if self.stage is Stage.FLOWING else self._size > MOST
         if hold and not self._held and not self.came:
-            self._held, self._due = True, now + STALL
+            self._held, self._pace.due = True, now + STALL
             self._source.hold()
         elif self._held and not hold:
-            self._held, self._due = False, now + self._grace
+            self._held, self._pace.due = False, now + self._grace
             self._source.go_on()
 
     def end(self) -> None:
@@ -156,12 +181,12 @@
 
     def full(self, now: float) -> None:
         """The sink has enough for now."""
-        self._full, self._due = True, now + TAKES
+        self._full, self._pace.due = True, now + TAKES
         self._settle(now)
 
     def room(self, now: float) -> None:
         """The sink takes more."""
-        self._full, self._due = False, now + self._grace
+        self._full, self._pace.due = False, now + self._grace
         if self.stage is Stage.FLOWING:
             self._drain(now)
 
@@ -195,7 +220,7 @@
         if self.stage in (Stage.ENDED, Stage.BROKEN):
             return False
         # Of one that is here as a whole nobody owes anything but a sink that has enough.
-        if now < self._due or (self.came and not self._full):
+        if now < self._pace.due or (self.came and not self._full):
             return False
         if not self._full or self._sink is None:
             return True
@@ -204,5 +229,5 @@
         before, self._taken = self._taken, self._sink.taken()
         if self._taken <= before:
             return True
-        self._due = now + TAKES
+        self._pace.due = now + TAKES
         return False
