Count no upload as a server's load before its last byte has come

Cause: an attempt whose body is passed on as it comes took a place of its server's limit from the head on. A server begins with the last byte. Their time ran from the head as well, so that an upload whose first server could not be reached had no second one once its timeout was over.

Change: BodyReceived tells the module that the body is whole; the attempt counts, and the deadline runs, from then on.

--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -16,7 +16,7 @@
     FIRST_LIMIT, LAST_LIMIT, LEAST_FIRST_LIMIT, RECALL, RECALL_ANSWERS, Host,
 )  # fmt: skip
 from whinrouter.interface import (
-    SECOND, Action, Attempt, AttemptEnded, Cancel, Effect, Event, Fail, Outcome, Pending,
+    SECOND, Action, Attempt, AttemptEnded, BodyReceived, Cancel, Effect, Event, Fail, Outcome, Pending,
     Refuse, Request, RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId, ServerList,
     SetTimer, Settings, State, StreamStarted, Subscribe, TimerFired, Update,
 )  # fmt: skip
@@ -100,6 +100,8 @@
             return [Subscribe()] if event.token == "subscribe" else self._on_late(event.token, now)
         if isinstance(event, StreamStarted):
             return self._on_stream(event, now)
+        if isinstance(event, BodyReceived):
+            return self._on_body(event, now)
         pending = self._pending.get(event.request) if isinstance(event, RequestGone) else None
         return self._settle(pending) if pending else []
 
@@ -247,6 +249,7 @@
         # With nothing out, nobody can tell that an overload is over until another is let through.
         blind = not self._pending
         pending = Pending(event, kind, now, now + event.timeout, self._settings.max_attempts)
+        pending.body_to_come = event.streams
         self._pending[event.id] = pending
         self._spare = min(self._most_spare, self._spare + EXTRA_SHARE)
         turned = self._shed.turns_away(event, kind, self._cost(pending), now, blind, self._random)
@@ -277,7 +280,8 @@
         return self._answer(pending)
 
     def _attempt(self, pending: Pending, now: int) -> list[Action]:
-        if now >= pending.deadline or len(pending.attempts) >= min(pending.most, self._settings.max_attempts):
+        over = now >= pending.deadline and not pending.body_to_come
+        if over or len(pending.attempts) >= min(pending.most, self._settings.max_attempts):
             return []
         extra = bool(pending.attempts) and (len(pending.attempts) > 1 or bool(pending.out))
         # A first try and its fallback are free; more from hundreds of balancers swamp what still works.
@@ -297,9 +301,10 @@
         request, number, expected = pending.request.id, len(pending.attempts), self._expected(pending)
         mark = self._marks.get(pending.kind.name, FIRST_MARK)
         trials = host.breaker.start(), host.of(pending.kind).start()
-        pending.attempts.append(Attempt(host.info, now, *trials, mark=mark))
-        host.in_flight += 1
-        self._out += 1
+        attempt = Attempt(host.info, now, *trials, mark=mark, awaits_body=pending.body_to_come)
+        pending.attempts.append(attempt)
+        if not attempt.awaits_body:
+            self._occupy(host)
         host.allowance -= pending.request.cost or expected
         late = max(1, ceil(mark * expected))  # rounded down, it would find that it is not late yet
         send = Send(request, host.info.id, 0, self._forgotten(pending))
@@ -417,7 +422,7 @@
         attempt.outcome, pending.spent = event.outcome, pending.spent or event.spent
         host = self._host_of(attempt)
         if host is not None and not attempt.streams:
-            self._release(host)
+            self._release(host, attempt)
             self._judge(host, pending, attempt, now, now - event.waited)
         if not event.answered and not pending.answered:
             return self._advance(pending, now)
@@ -430,7 +435,7 @@
             return []
         host = self._host_of(attempt)
         if host is not None:
-            self._release(host)
+            self._release(host, attempt)
             late = event.latency > TARGET * pending.kind.aim
             self._learn(host, pending, attempt, event.latency, now)
             self._shed.sign(not late, now)
@@ -440,7 +445,26 @@
         attempt.judged = attempt.streams = True
         return self._settle(pending)
 
-    def _release(self, host: Host) -> None:
+    def _on_body(self, event: BodyReceived, now: int) -> list[Action]:
+        """A server begins with a request's last byte: an upload that takes seconds is no load before that."""
+        pending = self._pending.get(event.request)
+        if pending is None or not pending.body_to_come:
+            return []
+        pending.body_to_come, pending.deadline = False, now + pending.request.timeout
+        for attempt in pending.attempts:
+            host = self._host_of(attempt) if attempt.outcome is None and attempt.awaits_body else None
+            if host is not None and not attempt.streams:
+                attempt.awaits_body = False
+                self._occupy(host)
+        return []
+
+    def _occupy(self, host: Host) -> None:
+        host.in_flight += 1
+        self._out += 1
+
+    def _release(self, host: Host, attempt: Attempt) -> None:
+        if attempt.awaits_body:
+            return
         self._out -= min(1, host.in_flight)
         host.in_flight = max(0, host.in_flight - 1)
 
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -186,6 +186,12 @@
     latency: int
 
 
+class BodyReceived(NamedTuple):
+    """The body of a request that `streams` is here as a whole: its time and its servers' work begin."""
+
+    request: RequestId
+
+
 class AttemptEnded(NamedTuple):
     """An attempt is over; every `Send` gets exactly one."""
 
@@ -223,7 +229,9 @@
     token: str
 
 
-Event = ServerList | Request | StreamStarted | AttemptEnded | RequestGone | ProbeEnded | TimerFired
+Event = (
+    ServerList | Request | BodyReceived | StreamStarted | AttemptEnded | RequestGone | ProbeEnded | TimerFired
+)
 
 # Actions
 
@@ -292,6 +300,7 @@
     streams: bool = False  # the client's own since its answer began
     outcome: Outcome | None = None  # None while it is out
     mark: float = 0.0  # the multiple of the usual time after which it is late
+    awaits_body: bool = False  # its server has not the whole request yet, and so no work from it
 
     @property
     def may_have_run(self) -> bool:
@@ -311,6 +320,7 @@
     fallback: ServerId | None = None
     attempts: list[Attempt] = field(default_factory=list)
     answered: bool = False
+    body_to_come: bool = False  # its body is sent on as it comes, and has not come whole
 
     @property
     def out(self) -> list[int]:
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -14,6 +14,7 @@
     SECOND,
     Action,
     AttemptEnded,
+    BodyReceived,
     Cancel,
     Event,
     Fail,
@@ -207,6 +208,7 @@
         if held is None or not held.comes:
             return
         held.whole, held.deadline = self._loop.time(), self.clock.now() + held.patience
+        self._feed(BodyReceived(request), request)
         if held.timer is not None:
             held.timer.cancel()
         if held.reply is not None:
