Let cold servers be sent what their own answers show, and no more than N in all

Counted second by second in one gateway: warm hosts at their least limit, cold ones with limits of 3 to 6 and none in flight, 170 looks at them a second that led to no send. _refill gave a cold host a part of the work that its kind had done lately: as warm hosts drown less is done, cold ones get less, warm ones more. It also cut what was saved for a long request to the size of a short one, and let each of hundreds of gateways save up one whole request.

Change: slowstart.py. Tokens of work from the base rate as before or from the host's own answers, whichever is more, with a bound of N over all balancers; requests are granted with them at random, so that nothing is saved up.

--- a/setup.py
+++ b/setup.py
@@ -13,6 +13,7 @@
     "whinrouter/interface.py",
     "whinrouter/ownlimit.py",
     "whinrouter/shedding.py",
+    "whinrouter/slowstart.py",
     "whinrouter/streaming/flow.py",
     "whinrouter/net/attempt.py",
     "whinrouter/net/door.py",
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -15,11 +15,12 @@
 import itertools
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from random import Random
 from typing import Protocol
 
+from standins.coldstart import ColdLoad, Warmup
 from whinrouter.balance import Balancer
 from whinrouter.interface import (
     MS,
@@ -71,6 +72,15 @@
     every: int = SECOND
 
 
+@dataclass(frozen=True)
+class Burst:
+    """So many times the load, from one moment to another."""
+
+    begins: int
+    ends: int
+    factor: float
+
+
 @dataclass
 class Machine:
     """One server; `at` times its cores held for `over` make it `slower`, until it rested for `rests`."""
@@ -86,6 +96,7 @@
     free: list[int] = field(default_factory=list)  # when each core is
     held: int = 0
     started: int = 0  # when its process was started anew; 0: long ago
+    warmup: Warmup | None = None  # None: it is warm at once
     overdriven: bool = False
     since: int | None = None  # since when it holds too much, or, overdriven, next to nothing
 
@@ -106,7 +117,8 @@
     def work(self, now: int, work: float, held: float, pauses: Sequence[Trouble]) -> int:
         """When the answer is ready."""
         done = max(now, heapq.heappop(self.free))
-        left = round(work / self.speed * (self.slower if self.overdriven else 1))
+        warmth = self.warmup.warmth(self.started, now) if self.warmup is not None else 1.0
+        left = round(work / (self.speed * warmth) * (self.slower if self.overdriven else 1))
         while left > 0:
             done = max([self._wakes(each, done) for each in pauses], default=done)
             runs = min([self._pauses(each, done) - done for each in pauses], default=left)
@@ -249,9 +261,12 @@
     retries: int = 1  # by clients, 100 ms after a refusal or failure, within the deadline
     zones: Sequence[str] = ("a",)
     across: int = 2 * MS  # one way, to another zone
+    warmup: Warmup | None = None
+    bursts: Sequence[Burst] = ()
     seed: int = 1
     now: int = 0
     broken: Counter[str] = field(default_factory=Counter)
+    cold: list[ColdLoad] = field(default_factory=list)  # of each server that was started anew
     asked: list[list[Asked]] = field(default_factory=list)  # by client's request, its tries
 
     def __post_init__(self) -> None:
@@ -262,6 +277,9 @@
         self._by_id = {machine.id: machine for machine in self.machines}
         self._holding: dict[int, dict[int, Callable[[Outcome], None]]] = {}  # by server, what it owes
         self._ran: dict[int, list[tuple[str, int]]] = {}  # by key, in which zone and when it ran
+        self._cold_by_server: dict[int, ColdLoad] = {}
+        parts = sum(kind.part for kind in self.kinds)
+        self._mean_work = sum(kind.part * kind.work for kind in self.kinds) / parts
         named = tuple(kind.named for kind in self.kinds)
         self.doors = [
             Gateway(self, self._settings(named, rank), self.seed * 1000 + rank)
@@ -270,9 +288,19 @@
 
     def _settings(self, named: tuple[RequestClass, ...], rank: int) -> Settings:
         zone = self.zones[rank % len(self.zones)]
-        return Settings(
+        settings = Settings(
             named, zone, self.gateways, rank, max_attempts=4, may_hedge=True, may_cancel=True,
         )  # fmt: skip
+        if self.warmup is None:
+            return settings
+        warmup = self.warmup
+        return replace(
+            settings,
+            cold_share=warmup.told_share,
+            ramp_time=warmup.time,
+            fall_multiple=warmup.multiple,
+            fall_time=warmup.window,
+        )
 
     def later(self, due: int, what: Callable[[], None]) -> None:
         heapq.heappush(self._due, (due, next(self._order), what))
@@ -297,7 +325,13 @@
     def restart(self, server: int) -> None:
         """Its process starts anew: what it holds is lost, after it ran. What its zone remembers stays."""
         old = self._by_id[server]
-        new = self._by_id[server] = Machine(server, old.zone, old.cores, old.speed, old.at, started=self.now)
+        new = self._by_id[server] = Machine(
+            server, old.zone, old.cores, old.speed, old.at, started=self.now, warmup=self.warmup
+        )
+        if self.warmup is not None:
+            load = ColdLoad(self.warmup, new.cores * new.speed / self._mean_work, self._mean_work)
+            self._cold_by_server[server] = load
+            self.cold.append(load)
         self.machines = [new if each is old else each for each in self.machines]
         for end in self._holding.pop(server, {}).values():
             self.later(self.now + NETWORK, partial(end, Outcome.RESET))
@@ -306,15 +340,17 @@
     def play(self, until: int) -> None:
         """From the start to the end of the arrivals, and on until all is answered."""
         self.list_servers()
-        work = sum(kind.part * kind.work for kind in self.kinds) / sum(kind.part for kind in self.kinds)
-        rate = self.load * sum(each.cores * each.speed for each in self.machines) / work
+        rate = self.load * sum(each.cores * each.speed for each in self.machines) / self._mean_work
         arrives = 0.0
-        while (arrives := arrives + self._random.expovariate(rate)) < until:
+        while (arrives := arrives + self._random.expovariate(rate * self._factor(arrives))) < until:
             self.later(round(arrives), self._arrive)
         while self._due:
             self.now, _, what = heapq.heappop(self._due)
             what()
 
+    def _factor(self, at: float) -> float:
+        return next((burst.factor for burst in self.bursts if burst.begins <= at < burst.ends), 1.0)
+
     def _arrive(self) -> None:
         kind = self._random.choices(self.kinds, [each.part for each in self.kinds])[0]
         work, held = (self._random.expovariate(1 / mean) if mean else 0.0 for mean in (kind.work, kind.held))
@@ -346,6 +382,8 @@
         self.later(self.now + way, lambda: self._reach(machine, asked, way, end))
 
     def _reach(self, machine: Machine, asked: Asked, way: int, end: Callable[[Outcome], None]) -> None:
+        if machine.id in self._cold_by_server:
+            self._cold_by_server[machine.id].add(asked.work, machine.started, self.now)
         mine = [t for t in self.troubles if t.begins <= self.now < t.ends and machine.id in t.servers]
         if any(self._random.random() < trouble.errors for trouble in mine):
             self.later(self.now + FAILS_IN + way, lambda: end(Outcome.ERROR))
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -22,6 +22,7 @@
 )  # fmt: skip
 from whinrouter.learnt import Learnt
 from whinrouter.shedding import Shedding
+from whinrouter.slowstart import BASE_PART, SAVED_PART, SlowStart
 
 OPEN_SHARE = 0.5  # no closed breaker counts a failure while this share of them is open
 CLASS_OPEN_SHARE = 0.75  # likewise of the breakers for a class; the servers still serve the others
@@ -45,10 +46,6 @@
 
 RATE_WINDOW = 2 * SECOND  # over which the work that servers did is averaged
 SUM_EVERY = 100_000  # not at every look: with a hundred cold servers that overran the CPU share
-# Of what would push a cold server over. With the least that it can do told, and no more, the cold half of a
-# fleet did a quarter of what it could at 0.4, and the warm half stood in a queue for the rest.
-COLD_PART = 0.6
-COLD_BURST = 300_000  # a cold server's allowance is saved up for this long at most
 
 # A time-out is none: the client's own limit cut it short. Being late is judged before, by peers.
 FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.UNKNOWN}
@@ -165,7 +162,7 @@
                 continue
             if known is None or known.info.started != info.started:
                 # A restarted server is a new one: cold, and its breaker fresh.
-                known = self._hosts[server] = Host(info, self._random, Breaker(self._random), now)
+                known = self._hosts[server] = Host(info, self._random, Breaker(self._random), SlowStart(now))
                 met.append(known)
             else:
                 known.info = info
@@ -222,8 +219,8 @@
         served[kind] = served.get(kind, 0.0) + cost
         self._counted = now
 
-    def _refill(self, host: Host, cost: float, now: int) -> None:
-        """Give a cold server its share, by present capacity, of the work that its kind did lately.
+    def _slow_start_admits(self, host: Host, pending: Pending, now: int) -> bool:
+        """Whether a cold server may be sent a request; its base rate is a part of the work done lately.
 
         Work asked for would not do: retries swell it. Each balancer's shares follow its own traffic, which
         goes to its own servers: they are the whole that it is divided among.
@@ -234,12 +231,12 @@
                 kind = other.info.kind
                 self._warm[kind] = self._warm.get(kind, 0.0) + self._warmth(other, now)
             self._summed = now
+        cost, settings = self._cost(pending), self._settings
         rate = self._served.get(host.info.kind, 0.0) / RATE_WINDOW / self._warm[host.info.kind]
+        rate *= self._warmth(host, now) * settings.fall_multiple * BASE_PART
         # A trickle even where nothing is known yet; split, as that of many balancers alone pushed one over.
-        trickle = cost / RATE_WINDOW / self._settings.balancers
-        rate = max(rate * self._warmth(host, now) * self._settings.fall_multiple * COLD_PART, trickle)
-        host.allowance = min(host.allowance + rate * (now - host.refilled), max(rate * COLD_BURST, cost))
-        host.refilled = now
+        rate = max(rate, cost / RATE_WINDOW / settings.balancers)
+        return host.slow_start.admits(cost, rate, SAVED_PART * settings.fall_time, now, self._random)
 
     def _on_request(self, event: Request, now: int) -> list[Action]:
         kind = self._classes.get(event.class_name)
@@ -305,7 +302,7 @@
         pending.attempts.append(attempt)
         if not attempt.awaits_body:
             self._occupy(host)
-        host.allowance -= pending.request.cost or expected
+        host.slow_start.sent(self._cost(pending))
         late = max(1, ceil(mark * expected))  # rounded down, it would find that it is not late yet
         send = Send(request, host.info.id, 0, self._forgotten(pending))
         return [send, SetTimer(late, f"{request}:{number}", request, number)]
@@ -387,8 +384,7 @@
             return True
         if host not in self._mine:  # those whose own it is warm it; what others sent would come on top
             return False
-        self._refill(host, self._cost(pending), now)
-        return host.allowance >= self._cost(pending)
+        return self._slow_start_admits(host, pending, now)
 
     def _may_repeat(self, pending: Pending, now: int) -> bool:
         """Whether another attempt may start at all."""
@@ -501,6 +497,8 @@
         if self._classes.get(name) is not pending.kind:  # its class has changed, or there is none any more
             self._count(host.info.kind, cost, now)
             return
+        if self._warmth(host, now) < 1:
+            host.slow_start.answered(self._cost(pending), self._settings.fall_multiple)
         if not attempt.judged:
             self._learn_mark(pending, False)
         usual = self._usual.setdefault(name, taken / cost)
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -8,6 +8,7 @@
 from whinrouter.breaker import Breaker, ClassBreaker
 from whinrouter.interface import SECOND, Attempt, Outcome, RequestClass, Server
 from whinrouter.learnt import HostLearnt
+from whinrouter.slowstart import SlowStart
 
 # Attempts that all balancers together may have in flight at a server of mean size that they have just met.
 # All start together: with 8 for each of three, or 3 for each of eight, the first seconds of a day filled
@@ -36,8 +37,7 @@
     info: Server
     random: Random
     breaker: Breaker
-    refilled: int  # when its allowance was brought up to date
-    allowance: float = 0.0  # work that may be sent while cold
+    slow_start: SlowStart  # what may be sent while it is cold
     in_flight: int = 0
     limit: float = 1.0  # in flight at most, or one; grows with answers in time
     least: float = 1.0  # below which it does not shrink
@@ -51,13 +51,20 @@
         classes = {name: breaker.state() for name, breaker in self.classes.items()}
         known, breaker = self.info, self.breaker.state()
         return HostLearnt(
-            known.id, known.started, self.limit, self.pace, self.paced, self.allowance, breaker, classes
+            known.id,
+            known.started,
+            self.limit,
+            self.pace,
+            self.paced,
+            self.slow_start.tokens,
+            breaker,
+            classes,
         )
 
     def resume(self, learnt: HostLearnt, part: float) -> None:
         """Go on from what another learnt, with a part of its limit and of a cold server's share."""
         self.limit = max(self.least, learnt.limit * part)
-        self.pace, self.paced, self.allowance = learnt.pace, learnt.paced, learnt.allowance * part
+        self.pace, self.paced, self.slow_start.tokens = learnt.pace, learnt.paced, learnt.tokens * part
         self.breaker.resume(learnt.breaker)
         for name, state in learnt.classes.items():
             self.classes.setdefault(name, ClassBreaker(self.random)).resume(state)
--- a/whinrouter/learnt.py
+++ b/whinrouter/learnt.py
@@ -27,7 +27,7 @@
     limit: float
     pace: float
     paced: int
-    allowance: float
+    tokens: float  # of its slow start
     breaker: BreakerState
     classes: dict[str, BreakerState]
 
