Widen pools by a twentieth an answer, and compare zones by their pools

Counted in one gateway: from the burst on all limits at their least, answers four times as slow, a third refused to the end. Hosts there turn two to three times slower for long once they hold 4 to 7 requests a core for 1.5 s. Before the first cut an answer in time doubled a limit (widen_pool), at each of 32 gateways. Second: a host with none in flight from here counted as one with room, so the zone's own six were used while the others' limits stood unused for ten seconds (_candidates). Ruled out by trials: copies, shedding, the least limit, the bound on cold hosts.

Change: an answer in time widens a part of a pool by 0.05, whether it was cut lately or not. Where limits are pools, a zone has room while less than half of its pool is out.

--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -345,11 +345,22 @@
         if key is not None and self._settings.warm_keys:
             yield from sorted(self._order, key=lambda host: _rank(key, host.info.id))
         if self._settings.cross_zone_price > 0:  # stay while servers here have room to spare
-            near = [host for host in self._here if 2 * host.in_flight < host.limit]
+            near = self._with_room(self._here)
             yield from self._drawn(near) if len(near) > 1 else ()
         yield from self._drawn(self._order)
         yield from self._spill
 
+    def _with_room(self, hosts: list[Host]) -> list[Host]:
+        """Those with room to spare.
+
+        Of many balancers each has one request at a server or none, also where all of them drown it: there the
+        limits and what is in flight count together.
+        """
+        if not self._crowded:
+            return [host for host in hosts if 2 * host.in_flight < host.limit]
+        out, limits = sum(host.in_flight for host in hosts), sum(host.limit for host in hosts)
+        return hosts.copy() if 2 * out < limits else []
+
     def _drawn(self, hosts: list[Host]) -> Iterator[Host]:
         """In random order, worked out only as far as it is asked for.
 
@@ -530,7 +541,7 @@
             if not self._crowded:
                 host.widen()
             elif 2 * self._out >= self._limits - 2:
-                host.widen_pool(now)
+                host.widen_pool()
         elif outcome not in NO_LOAD:
             host.narrow(attempt, now)
         self._limits += host.limit - before
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -20,12 +20,11 @@
 # are worth one request at least: with a quarter from each, forty balancers had ten at each server.
 LAST_LIMIT = 5.0
 BACK_OFF = 0.7  # by which each sign of overload cuts that limit
-# By which an answer in time widens a part of a pool that was cut lately. Against `BACK_OFF` the pool then
-# stands where one answer in four is late; when each doubled it, it grew until three in four were.
-WIDEN = 0.1
-WARY = (
-    10 * SECOND
-)  # for which a cut is remembered; it is a few times as long as answers that stood in a queue
+# By which an answer in time widens a part of a pool. Against `BACK_OFF` the pool stands where one answer in
+# eight is late. Doubled by each, limits grew within the first second of a burst to what overdrives every
+# server; with 0.3 they did as well, with 0.1 on some days, and with 0.025 pools were still small long after
+# trouble was over.
+WIDEN = 0.05
 # A server's pace is remembered for this long, and for as long as so many answers of each server take to come:
 # one that meets a server every two seconds had always forgotten that it was slow.
 RECALL, RECALL_ANSWERS = SECOND // 2, 4
@@ -89,10 +88,9 @@
         if 2 * self.in_flight >= self.limit - 2:
             self.limit += min(self.limit, 1 / self.limit)
 
-    def widen_pool(self, now: int) -> None:
+    def widen_pool(self) -> None:
         """Likewise, where it counts as a part of a sum that is nearly reached (`Balancer._crowded`)."""
-        wary = self.cut and now - self.cut < WARY
-        self.limit += min((WIDEN if wary else 1.0) * self.limit, 1 / self.limit)
+        self.limit += min(WIDEN * self.limit, 1 / self.limit)
 
     def narrow(self, attempt: Attempt, now: int) -> None:
         """One stall delays all that is in flight: it is one sign, however many attempts it holds."""
