Read what a request asks for in a module of its own

They are net/interpreter.py now (RequestInterpreter), with named constants in place of figures; the clock is an argument. Frontend.asked became interpreter.interpret in tests and benchmarks. No behaviour changes.

--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -62,7 +62,7 @@
 
     def run(count: int) -> None:
         for _ in range(count):
-            frontend.asked(reader.feed(text)[0])
+            frontend.interpreter.interpret(reader.feed(text)[0], 0.0)
 
     return run
 
@@ -126,7 +126,8 @@
     gateway = Gateway(Balancer(SETTINGS, seed=1), upstream)
     members = tuple(Member(Server(id=number), ("127.0.0.1", 9)) for number in range(hosts))
     gateway.list_hosts(HostList(1, True, members))
-    asked = Frontend(gateway, SETTINGS, 100).asked(RequestReader().feed(request_text("9b1f03aa"))[0])
+    interpreter = Frontend(gateway, SETTINGS, 100).interpreter
+    asked = interpreter.interpret(RequestReader().feed(request_text("9b1f03aa"))[0], 0.0)
     answer = ResponseReader().feed(ANSWER)[0]
 
     def reply(answer: Answer) -> None:
--- a/setup.py
+++ b/setup.py
@@ -21,6 +21,7 @@
     "whinrouter/net/gateway.py",
     "whinrouter/net/hosts.py",
     "whinrouter/net/http.py",
+    "whinrouter/net/interpreter.py",
     "whinrouter/net/routes.py",
     "whinrouter/net/sockets.py",
     "whinrouter/net/upstream.py",
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -29,6 +29,7 @@
 from whinrouter.interface import MS
 from whinrouter.net import frontend
 from whinrouter.net.frontend import MAX_SURPLUS
+from whinrouter.net.gateway import Asked
 from whinrouter.net.http import RequestReader
 
 
@@ -178,6 +179,11 @@
         assert proxy.frontend.buffered == 0
 
 
+def _interpreted(proxy: Running, headers: dict[str, str]) -> Asked:
+    (message,) = RequestReader().feed(request_text(headers=headers))
+    return proxy.frontend.interpreter.interpret(message, now=0.0)
+
+
 @asynccontextmanager
 async def _at_the_limit(limit: int = 2) -> AsyncIterator[Running]:
     """A gateway whose clients all have requests that no host answers."""
@@ -345,7 +351,7 @@
 async def test_a_hint_is_believed_up_to_the_class_s_time() -> None:
     async with running() as proxy:
         for hint, cost in (("9" * 12, 15_000_000), ("9" * 5000, 0), ("-1", 0)):
-            asked = proxy.frontend.asked(RequestReader().feed(request_text(headers={"X-Cost-Hint": hint}))[0])
+            asked = _interpreted(proxy, {"X-Cost-Hint": hint})
             assert asked.cost == cost
 
 
@@ -426,11 +432,11 @@
 async def test_hints_reach_the_module() -> None:
     async with running() as proxy:
         headers = {"X-Cost-Hint": "9000", "X-Key": "user:4", "X-Retry": "1", "X-Tenant": "acme"}
-        asked = proxy.frontend.asked(RequestReader().feed(request_text(headers=headers))[0])
+        asked = _interpreted(proxy, headers)
         assert (asked.class_name, asked.timeout, asked.cost) == ("page-read", 10_000 * MS, 9000)
         assert (asked.key, asked.retry, asked.tenant) == ("user:4", True, "acme")
         senseless = {"X-Cost-Hint": "much", "X-Retry": "no"}
-        asked = proxy.frontend.asked(RequestReader().feed(request_text(headers=senseless))[0])
+        asked = _interpreted(proxy, senseless)
         assert (asked.cost, asked.retry) == (0, False)
 
 
--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -214,7 +214,7 @@
         change(proxy.balancer, "handle", recorded)
         replied: list[int] = []
         message = RequestReader().feed(request_text())[0]
-        proxy.gateway.take(proxy.frontend.asked(message), slow)
+        proxy.gateway.take(proxy.frontend.interpreter.interpret(message, 0.0), slow)
         await until(lambda: replied)
         (_, begun), (ended, at) = told
         assert isinstance(ended, AttemptEnded)
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -5,21 +5,18 @@
 import asyncio
 import contextlib
 import logging
-import math
-import os
 import re
 from collections import OrderedDict, deque
 from collections.abc import Callable, Coroutine
-from dataclasses import replace
 from http import HTTPStatus
 from itertools import islice
 from random import Random
 from typing import Any
 
-from whinrouter.interface import SECOND, Effect, RequestClass, RequestId, Settings
+from whinrouter.interface import SECOND, RequestId, Settings
 from whinrouter.net.connect import Listener
 from whinrouter.net.door import Door
-from whinrouter.net.gateway import MARGIN, Answer, Asked, Gateway
+from whinrouter.net.gateway import MARGIN, Answer, Gateway
 from whinrouter.net.http import (
     LAST_CHUNK,
     MAX_LENGTH,
@@ -32,6 +29,7 @@
     write_answer,
     write_head,
 )
+from whinrouter.net.interpreter import RequestInterpreter
 from whinrouter.net.routes import Routes
 from whinrouter.net.sockets import acknowledged, age, end, left, reset, unread
 from whinrouter.operations.presence import Presence
@@ -42,7 +40,6 @@
 
 MAX_QUEUED = 4  # requests that a client may send ahead on one connection; most send none
 MAX_BUFFERED = 4 * 1024 * 1024  # bytes of requests that wait or have not come whole, of all clients together
-MAX_ID = 128  # characters of a request's id
 # Seconds within which a head must be whole, from its connection's start or its own: slow clients take
 # two. Those who open connections and send nothing, or begin and never end, are gone before they have waited
 # for three. From its head on a body has the time that its bytes earn (`flow.py`).
@@ -77,18 +74,6 @@
 _FRAMED = re.compile(
     rb"\n(?:content-length|transfer-encoding|expect|upgrade|connection)[ \t]*:", re.IGNORECASE
 )
-_ACTED_ON = frozenset(
-    (
-        b"x-request-id",
-        b"x-class",
-        b"x-deadline",
-        b"x-key",
-        b"x-tenant",
-        b"x-cost-hint",
-        b"x-retry",
-        b"idempotency-key",
-    )
-)
 
 
 class Frontend:
@@ -110,14 +95,11 @@
         self.gateway = gateway
         self.own = door.own if door else OwnLimit(kind.aim / SECOND for kind in settings.classes)
         self.door = door
-        self._routes = routes
+        self.interpreter = RequestInterpreter(settings, routes)
         self._most_buffered = MAX_BUFFERED if buffered is None else buffered
         self._sweeping = False
         self._advises = settings.retry_after
         self._random = Random()
-        self._classes = {kind.name.encode(): kind for kind in settings.classes}
-        # What classes were before the settings changed, and until when their requests may still come.
-        self._former: dict[bytes, tuple[RequestClass, float]] = {}
         self.limit = limit  # connections at most
         self.connections: set[_Client] = set()
         self.surplus: set[_Client] = set()  # those of them that are past the limit
@@ -152,8 +134,7 @@
     @property
     def longest(self) -> float:
         """Seconds in which each request that is here is over, by the settings in force and those before."""
-        kinds = [*self._classes.values(), *(kind for kind, _ in self._former.values())]
-        return max(kind.deadline for kind in kinds) / SECOND
+        return self.interpreter.longest_deadline / SECOND
 
     def time_left(self) -> float:
         """Seconds within which a request that comes now is to be answered, whatever its client says."""
@@ -167,13 +148,8 @@
 
     def retune(self, settings: Settings, limit: int, routes: Routes | None = None) -> None:
         """Go by other settings. What clients have sent by the old ones still comes in for a while."""
-        fresh = {kind.name.encode(): kind for kind in settings.classes}
-        until = self._loop.time() + max(kind.deadline for kind in self._classes.values()) / SECOND
-        self._former = {
-            name: (kind, until) for name, kind in self._classes.items() if fresh.get(name) != kind
-        }
-        self._classes, self._advises, self.limit = fresh, settings.retry_after, limit
-        self._routes = routes
+        self.interpreter.retune(settings, self._loop.time(), routes)
+        self._advises, self.limit = settings.retry_after, limit
         self.own.retune(kind.aim / SECOND for kind in settings.classes)
 
     def close_listener(self) -> None:
@@ -246,83 +222,6 @@
             return []
         return [(b"retry-after", b"%.3f" % self._random.uniform(*COME_BACK))]
 
-    def asked(self, message: Message) -> Asked:
-        """What a request asks for; BadMessageError if it asks for nothing that there is."""
-        told = _told_once(message)
-        if self._routes is not None and b"x-request-id" not in told:
-            told[b"x-request-id"] = os.urandom(16).hex().encode()
-            message.headers.append((b"x-request-id", told[b"x-request-id"]))
-        if not 0 < len(told.get(b"x-request-id", b"")) <= MAX_ID:
-            raise BadMessageError(HTTPStatus.BAD_REQUEST, "the request has no id of use")
-        kind = self._class_of(message, told.get(b"x-class"))
-        hint, key, tenant = told.get(b"x-cost-hint"), told.get(b"x-key"), told.get(b"x-tenant")
-        return Asked(
-            message,
-            kind.name,
-            _timeout(told.get(b"x-deadline"), kind),
-            # A hint of more work than its class has time for would outweigh all other requests.
-            min(int(hint), kind.deadline) if hint and hint.isdigit() and len(hint) <= 12 else 0,
-            None if key is None else key.decode("latin-1"),
-            told.get(b"x-retry") == b"1",
-            "" if tenant is None else tenant.decode("latin-1"),
-            told[b"x-request-id"].decode("latin-1"),
-        )
-
-    def _class_of(self, message: Message, named: bytes | None) -> RequestClass:
-        if self._routes is not None:
-            return _class_by_path(self._routes, message, named)
-        name = message.target.partition(b"?")[0].strip(b"/").partition(b"/")[0]
-        kind = self._classes.get(name)
-        if (kind is None or not _goes_with(message, kind)) and name in self._former:
-            kind = self._former_class(name, message)
-        if kind is None or (named is not None and named != name):
-            raise BadMessageError(HTTPStatus.BAD_REQUEST, "the class is not known")
-        if not _goes_with(message, kind):
-            raise BadMessageError(HTTPStatus.METHOD_NOT_ALLOWED, "the class goes with another method")
-        return kind
-
-    def _former_class(self, name: bytes, message: Message) -> RequestClass | None:
-        """What a class was, for a request sent before it changed; the module takes it for an unknown one."""
-        kind, until = self._former[name]
-        if until <= self._loop.time() or not _goes_with(message, kind):
-            return self._classes.get(name)
-        return replace(kind, name="")
-
-
-def _goes_with(message: Message, kind: RequestClass) -> bool:
-    return message.method == (b"GET" if kind.effect is Effect.IDEMPOTENT else b"POST")
-
-
-def _class_by_path(routes: Routes, message: Message, named: bytes | None) -> RequestClass:
-    route = routes.find(message.target)
-    if route is None or (named is not None and named != route.kind.name.encode()):
-        raise BadMessageError(HTTPStatus.BAD_REQUEST, "the path leads to no class")
-    if message.method not in route.methods:
-        raise BadMessageError(HTTPStatus.METHOD_NOT_ALLOWED, "the class goes with another method")
-    return route.kind
-
-
-def _told_once(message: Message) -> dict[bytes, bytes]:
-    """The headers that are acted on. Of one that comes twice a host might believe the other."""
-    found = [header for header in message.headers if header[0] in _ACTED_ON]
-    told = {name: value.strip() for name, value in found}
-    if len(told) < len(found):
-        raise BadMessageError(HTTPStatus.BAD_REQUEST, "a header is told twice")
-    return told
-
-
-def _timeout(text: bytes | None, kind: RequestClass) -> int:
-    """How long the client waits; its class's limit if it doesn't say, or says more than that."""
-    if text is None:
-        return kind.deadline
-    try:
-        seconds = float(text)
-    except ValueError:
-        seconds = math.nan
-    if not math.isfinite(seconds) or seconds <= 0:
-        raise BadMessageError(HTTPStatus.BAD_REQUEST, "the deadline is no time")
-    return min(round(seconds * SECOND), kind.deadline)
-
 
 class _Client(Reading):
     """One client's connection; its requests are handled one after the other."""
@@ -676,7 +575,7 @@
         if self._surplus:
             self._reply(Answer(HTTPStatus.SERVICE_UNAVAILABLE, front.advice()))
             return
-        asked = front.asked(message)
+        asked = front.interpreter.interpret(message, self._loop.time())
         name = asked.name
         if name in front.open_ids:
             # Hosts tell requests apart by their ids: a second one could have the first's effect again.
