Tests that fail: a stepped wall clock over an upgrade and at cold hosts

Cause to be mended: net/gateway.py Clock ties Unix time to the monotonic clock at each process's start, learnt.py hands instants of it over, and Balancer._warmth compares up_since_ms of other machines with it.

--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,43 @@
+"""System calls that fail for a moment and a stepped wall clock, by a library for LD_PRELOAD (`faults.c`)."""
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+
+SOURCE = Path(__file__).with_name("faults.c")
+
+
+def build(folder: Path) -> Path:
+    """Compile the library into a folder; return its path. RuntimeError if there is no compiler."""
+    compiler = shutil.which("cc") or shutil.which("gcc")
+    if compiler is None:
+        raise RuntimeError("no C compiler")
+    library = folder / "faults.so"
+    subprocess.run(
+        [compiler, "-shared", "-fPIC", "-O1", "-Wall", "-o", str(library), str(SOURCE), "-ldl"], check=True
+    )
+    return library
+
+
+def environment(
+    library: Path,
+    calls: Mapping[str, int] | None = None,
+    steps: Iterable[float] = (),
+    every: float = 2.0,
+    seed: int = 1,
+) -> dict[str, str]:
+    """What a process is started with to have these faults.
+
+    `calls`: by kind, of how many calls one fails. `steps`: seconds by which the wall clock is off, each for
+    `every` seconds.
+    """
+    return {
+        "LD_PRELOAD": str(library),
+        "FAULTS_CALLS": ",".join(f"{kind}:{count}" for kind, count in (calls or {}).items()),
+        "FAULTS_STEPS": ",".join(str(step) for step in steps),
+        "FAULTS_EVERY": str(every),
+        "FAULTS_SEED": str(seed),
+    }
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -8,7 +8,7 @@
 import signal
 import socket
 import sys
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 from functools import partial
@@ -44,7 +44,12 @@
 
 
 @asynccontextmanager
-async def gateway(folder: Path, listener: socket.socket, config: dict[str, Any]) -> AsyncIterator[Gateway]:
+async def gateway(
+    folder: Path,
+    listener: socket.socket,
+    config: dict[str, Any],
+    extra: Mapping[str, str] | None = None,
+) -> AsyncIterator[Gateway]:
     port = listener.getsockname()[1]
     kept = {name: os.environ[name] for name in ("PYTHONPATH", "PYTHONSAFEPATH") if name in os.environ}
     environment = {
@@ -53,6 +58,7 @@
         "PROXY_CONTROL": "127.0.0.1:0",
         "PROXY_SOCKET_FD": str(listener.fileno()),
         "TMPDIR": str(folder),
+        **(extra or {}),
     }
     command = (sys.executable, "-m", "whinrouter")
     async with started(*command, environment=environment, pass_fds=(listener.fileno(),)) as process:
