Go by spans of the monotonic clock alone, over hand-overs and for start times

Cause: net/gateway.py Clock tied Unix time to the monotonic clock at each process's start; learnt.py handed breakers, paces and signs over as instants of it, maintenance the calls, and Balancer._warmth compared up_since_ms of other machines with it.

Change: no decision reads the wall clock. What is handed over are ages (frames are CLH2; another version starts from nothing). membership/starts.py gives each start the moment at which it was first seen; in a first list starts count against the newest one. Log lines of a kind were held back for an hour after a step back: they go by the monotonic clock too.

Tried first: forgetting starts by the length of a list of changes, which a new test showed to make standing hosts cold.

--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -22,7 +22,7 @@
 from tests.processes import logged, started
 from tests.test_discovery import HEAD
 from tests.test_program import is_up, told, write
-from whinrouter.handover.words import Hello, frame
+from whinrouter.handover.words import MAGIC, Hello, frame
 from whinrouter.net.http import Message
 
 
@@ -177,7 +177,7 @@
             hello = frame(Hello("n3", f"127.0.0.1:{port}", os.fstat(listener.fileno()).st_ino))
             writer.write({"nothing": b"", "half of a hello": hello[:9], "told": hello}[step])
             if step == "told":
-                assert (await reader.read(4)) == b"CLH1"
+                assert (await reader.read(4)) == MAGIC
             writer.transport.abort()
             assert await bodies(port) == {b"two"}
         async with gateway(tmp_path, listener, config) as new:
--- a/tests/handover/test_words.py
+++ b/tests/handover/test_words.py
@@ -24,7 +24,8 @@
     TornError,
     frame,
 )
-from whinrouter.interface import MS, Outcome, ServerList, Settings, Update
+from whinrouter.interface import MS, SECOND, Outcome, ServerList, Settings, Update
+from whinrouter.membership.starts import StartAge
 
 
 def _experienced() -> Driver:
@@ -41,9 +42,10 @@
 
 
 ROW = Row(2**64 - 1, "127.0.0.1", 9000, "ready", "a", "m2", 3, 1.0, 17)
+LEARNT = _experienced().balancer.learnt(17 * MS)
 SAID: list[Message] = [
     Hello("n3", "127.0.0.1:9000", 41),
-    Snapshot("127.0.0.1:8500", 41, (ROW,), {2**64 - 1: 5}, {7: 9}, True, _experienced().balancer.learnt()),
+    Snapshot("127.0.0.1:8500", 41, (ROW,), {2**64 - 1: 5}, {7: 9}, {7: StartAge(17, 3)}, True, LEARNT),
     Ready(),
     Holding(140),
     Called("OFFLINE", "s-1"),
@@ -112,12 +114,14 @@
         line.feed(frame(CALLED))
 
 
-def test_a_module_goes_on_from_what_another_learnt() -> None:
+@pytest.mark.parametrize("clocks_apart", [0, 3600 * SECOND, -10 * MS])
+def test_a_module_goes_on_from_what_another_learnt(clocks_apart: int) -> None:
     older = _experienced()
     fresh = Balancer(older.settings, 2)
-    fresh.handle(ServerList(Update.FULL, tuple(older.listed.values())), older.now)
-    fresh.resume(older.balancer.learnt(), 1.0)
-    assert fresh.learnt() == older.balancer.learnt()
+    now = older.now + clocks_apart
+    fresh.handle(ServerList(Update.FULL, tuple(older.listed.values())), now)
+    fresh.resume(older.balancer.learnt(older.now), 1.0, now)
+    assert fresh.learnt(now) == older.balancer.learnt(older.now)
     fresh.scale(2.0)
-    pairs = zip(fresh.learnt().hosts, older.balancer.learnt().hosts, strict=True)
+    pairs = zip(fresh.learnt(now).hosts, older.balancer.learnt(older.now).hosts, strict=True)
     assert all(ours.limit == pytest.approx(2 * theirs.limit) for ours, theirs in pairs)
--- a/tests/operations/test_maintenance.py
+++ b/tests/operations/test_maintenance.py
@@ -77,7 +77,7 @@
     def upgrade(self) -> None:
         """Another process goes on with what this one has."""
         fresh = Maintenance()
-        fresh.adopt(self.state.out, self.state.back)
+        fresh.adopt(*self.state.ages(self.now), self.now)
         self.shown = {}
         self._take(fresh.follow(Update.STALE, tuple(self.listed.values())))
         self.state = fresh
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -45,7 +45,7 @@
     State,
     TimerFired,
 )
-from whinrouter.net.gateway import MARGIN
+from whinrouter.net.gateway import MARGIN, Clock
 from whinrouter.net.hosts import Member
 
 
@@ -169,7 +169,7 @@
     """Rule 4: the module hears when each host started, on its own clock."""
     cold = Settings((READ, BUY), max_attempts=5, cold_share=0.13, ramp_time=24_000_000)
     async with peers(says(), says()) as hosts:
-        now = time.time_ns() // 1000
+        now = Clock().now()
         members = [hosts[0].member(kind="m2", started=now), hosts[1].member(kind="m2")]
         async with running(*members, settings=cold) as proxy:
             for _ in range(40):
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -20,7 +20,7 @@
     Refuse, Request, RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId, ServerList,
     SetTimer, Settings, State, StreamStarted, Subscribe, TimerFired, Update,
 )  # fmt: skip
-from whinrouter.learnt import Learnt
+from whinrouter.learnt import Learnt, age_of, moment_of
 from whinrouter.shedding import Shedding
 from whinrouter.slowstart import BASE_PART, SAVED_PART, SlowStart
 
@@ -119,26 +119,27 @@
         self._spare = min(self._spare, self._most_spare)
         self._arrange([])
 
-    def learnt(self) -> Learnt:
-        """What another balancer in this one's place goes on from."""
-        hosts = tuple(host.learnt() for host in self._hosts.values())
+    def learnt(self, now: int) -> Learnt:
+        """What another balancer in this one's place goes on from, in spans from now."""
+        hosts = tuple(host.learnt(now) for host in self._hosts.values())
         usual, typical, marks = dict(self._usual), dict(self._typical), dict(self._marks)
         patience, served, (share, signed) = dict(self._patience), dict(self._served), self._shed.state()
-        return Learnt(hosts, usual, typical, marks, patience, served, self._counted, share, signed)
+        counted, sign_age = age_of(self._counted, now), age_of(signed, now)
+        return Learnt(hosts, usual, typical, marks, patience, served, counted, share, sign_age)
 
-    def resume(self, learnt: Learnt, part: float) -> None:
+    def resume(self, learnt: Learnt, part: float, now: int) -> None:
         """Go on from what another learnt of the same servers, for a part of its requests."""
         for known in learnt.hosts:
             host = self._hosts.get(known.server)
-            if host is not None and host.info.started == known.started:
-                host.resume(known, part)
+            if host is not None and host.info.started == moment_of(known.age, now):
+                host.resume(known, part, now)
         told = (learnt.usual, self._usual), (learnt.typical, self._typical), (learnt.marks, self._marks)
         for theirs, ours in told:
             ours.update({name: value for name, value in theirs.items() if name in self._classes})
         self._patience.update(learnt.patience)
         self._served = {kind: work * part for kind, work in learnt.served.items()}
-        self._counted = learnt.counted
-        self._shed.resume(learnt.share, learnt.signed)
+        self._counted = moment_of(learnt.counted, now)
+        self._shed.resume(learnt.share, moment_of(learnt.signed, now))
         self._allot([])
 
     def scale(self, by: float) -> None:
--- a/whinrouter/breaker.py
+++ b/whinrouter/breaker.py
@@ -31,13 +31,15 @@
     def closed(self) -> bool:
         return self._reopens is None
 
-    def state(self) -> BreakerState:
-        """What another goes on from; a trial that is out is not its own."""
-        return BreakerState(tuple(self._failures), self._reopens, self._cooldown)
-
-    def resume(self, state: BreakerState) -> None:
-        self._failures = deque(state.failures)
-        self._reopens, self._cooldown = state.reopens, state.cooldown
+    def state(self, now: int) -> BreakerState:
+        """What another goes on from, in spans; a trial that is out is not its own."""
+        reopens_in = self._reopens - now if self._reopens is not None else None
+        return BreakerState(tuple(now - failed for failed in self._failures), reopens_in, self._cooldown)
+
+    def resume(self, state: BreakerState, now: int) -> None:
+        self._failures = deque(now - age for age in state.failures)
+        self._reopens = now + state.reopens_in if state.reopens_in is not None else None
+        self._cooldown = state.cooldown
 
     def admits(self, now: int) -> bool:
         return self._reopens is None or (now >= self._reopens and not self._trial)
--- a/whinrouter/handover/succession.py
+++ b/whinrouter/handover/succession.py
@@ -121,14 +121,15 @@
             self._adopt(told)
         except Exception:  # a start must not fail on what another version says
             log.exception("handover: what the older process knows is of no use; starting from nothing")
-            self.desk.maintenance.adopt({}, {})
+            self.desk.adopt({}, {}, {}, self.desk.now())
             return None
         return told
 
     def _adopt(self, told: Snapshot) -> None:
-        self.desk.maintenance.adopt(told.out, told.back)
+        now = self.desk.now()
+        self.desk.adopt(told.out, told.back, told.starts, now)
         self.desk.listed(HostList(told.revision, True, tuple(map(member, told.hosts))))
-        self.gateway.resume(told.learnt, PART)
+        self.gateway.resume(told.learnt, PART, now)
         if told.leaving:
             self.desk.called("LEAVE", "")
         log.info(
@@ -211,16 +212,18 @@
             )
             line.close()
             return
-        desk = self.desk
+        desk, now = self.desk, self.desk.now()
+        out, back = desk.maintenance.ages(now)
         line.say(
             Snapshot(
                 self.source(),
                 desk.revision,
                 tuple(map(row, desk.members.values())),
-                desk.maintenance.out,
-                desk.maintenance.back,
+                out,
+                back,
+                desk.starts.ages(now),
                 not desk.presence.up,
-                self.gateway.learnt(),
+                self.gateway.learnt(now),
             )
         )
 
--- a/whinrouter/handover/words.py
+++ b/whinrouter/handover/words.py
@@ -1,9 +1,10 @@
 """What two processes of one gateway tell each other, as bytes. No I/O.
 
-A frame is `CLH1` (four bytes, the last the version), the payload's length (4 bytes), its CRC-32 (4 bytes),
-both big-endian, and the payload: one message in MessagePack, an array that begins with its tag. Whatever is
-not so, is of another version, or holds a value of another kind than its field says, is a `TornError`:
-whoever reads it starts from nothing rather than from a guess.
+A frame is `CLH2` (four bytes, the last the version), the payload's length (4 bytes), its CRC-32 (4 bytes),
+both big-endian, and the payload: one message in MessagePack, an array that begins with its tag. All times
+in it are spans, as the clocks of two processes need not agree. Whatever is not so, is of another version, or
+holds a value of another kind than its field says, is a `TornError`: whoever reads it starts from nothing
+rather than from a guess.
 """
 
 from __future__ import annotations
@@ -14,8 +15,9 @@
 import msgspec
 
 from whinrouter.learnt import Learnt
+from whinrouter.membership.starts import StartAge
 
-MAGIC = b"CLH1"
+MAGIC = b"CLH2"
 # Bytes of a payload. A host takes some 200 with what was learnt of it: this is for ten times the largest
 # fleet.
 MOST = 4 * 1024 * 1024
@@ -50,7 +52,7 @@
     kind: str
     cell: int
     weight: float
-    started: int
+    started: int  # Unix time, as it is listed
 
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -59,8 +61,9 @@
     source: str  # whose revision it is
     revision: int
     hosts: tuple[Row, ...]  # as discovery lists them
-    out: dict[int, int]  # when hosts were taken out
+    out: dict[int, int]  # how long ago hosts were taken out, in microseconds
     back: dict[int, int]  # and put back
+    starts: dict[int, StartAge]  # of the hosts, with the ages that they have here
     leaving: bool
     learnt: Learnt
 
--- a/whinrouter/host.py
+++ b/whinrouter/host.py
@@ -7,7 +7,7 @@
 
 from whinrouter.breaker import Breaker, ClassBreaker
 from whinrouter.interface import SECOND, Attempt, Outcome, RequestClass, Server
-from whinrouter.learnt import HostLearnt
+from whinrouter.learnt import HostLearnt, age_of, moment_of
 from whinrouter.slowstart import SlowStart
 
 # Attempts that all balancers together may have in flight at a server of mean size that they have just met.
@@ -46,27 +46,28 @@
     size: float = 1.0  # how much it can do, against the others
     classes: dict[str, ClassBreaker] = field(default_factory=dict)  # an entry for each class announced
 
-    def learnt(self) -> HostLearnt:
-        classes = {name: breaker.state() for name, breaker in self.classes.items()}
-        known, breaker = self.info, self.breaker.state()
+    def learnt(self, now: int) -> HostLearnt:
+        classes = {name: breaker.state(now) for name, breaker in self.classes.items()}
+        known, breaker = self.info, self.breaker.state(now)
         return HostLearnt(
             known.id,
-            known.started,
+            age_of(known.started, now),
             self.limit,
             self.pace,
-            self.paced,
+            age_of(self.paced, now),
             self.slow_start.tokens,
             breaker,
             classes,
         )
 
-    def resume(self, learnt: HostLearnt, part: float) -> None:
+    def resume(self, learnt: HostLearnt, part: float, now: int) -> None:
         """Go on from what another learnt, with a part of its limit and of a cold server's share."""
         self.limit = max(self.least, learnt.limit * part)
-        self.pace, self.paced, self.slow_start.tokens = learnt.pace, learnt.paced, learnt.tokens * part
-        self.breaker.resume(learnt.breaker)
+        self.pace, self.paced = learnt.pace, moment_of(learnt.paced, now)
+        self.slow_start.tokens = learnt.tokens * part
+        self.breaker.resume(learnt.breaker, now)
         for name, state in learnt.classes.items():
-            self.classes.setdefault(name, ClassBreaker(self.random)).resume(state)
+            self.classes.setdefault(name, ClassBreaker(self.random)).resume(state, now)
 
     def busy(self, now: int, recall: float) -> float:
         """In flight by size and pace; a pace not seen again is forgotten, or it would last for ever."""
--- a/whinrouter/learnt.py
+++ b/whinrouter/learnt.py
@@ -2,6 +2,9 @@
 
 It goes from process to process (`handover/words.py`), whose reader goes by the types of the fields. A
 compiled module keeps less of these than it reads, so this one is not compiled.
+
+The clocks of two processes need not agree, so nothing here is a moment of either: all times are spans in
+microseconds, from a moment to the one at which this was said (`age_of`), or from that one on.
 """
 
 from __future__ import annotations
@@ -11,11 +14,21 @@
 from whinrouter.interface import ServerId
 
 
+def age_of(moment: int, now: int) -> int | None:
+    """The span since a moment; None for 0, which stands for never or long ago."""
+    return now - moment if moment else None
+
+
+def moment_of(age: int | None, now: int) -> int:
+    """The moment that lies so long back; 0 for None."""
+    return now - age if age is not None else 0
+
+
 class BreakerState(NamedTuple):
-    """A breaker: its failures in the window, when it is half-open (None: it is closed), its next cooldown."""
+    """A breaker: its failures' ages, the time to its half-opening (None: it is closed), its next cooldown."""
 
     failures: tuple[int, ...]
-    reopens: int | None
+    reopens_in: int | None
     cooldown: int
 
 
@@ -23,10 +36,10 @@
     """What was learnt of a server since its start."""
 
     server: ServerId
-    started: int
+    age: int | None  # since its start
     limit: float
     pace: float
-    paced: int
+    paced: int | None  # the age of that
     tokens: float  # of its slow start
     breaker: BreakerState
     classes: dict[str, BreakerState]
@@ -41,6 +54,6 @@
     marks: dict[str, float]
     patience: dict[str, int]
     served: dict[str, float]
-    counted: int
+    counted: int | None  # the age of what was served
     share: float
-    signed: int
+    signed: int | None  # the age of the latest sign of load
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -119,13 +119,15 @@
 
 
 class Clock:
-    """Unix time in microseconds, but never going back: read once, then advanced by the monotonic clock."""
+    """Moments in microseconds of the machine's monotonic clock; whatever the wall clock says is not read.
 
-    def __init__(self) -> None:
-        self._anchor = time.time_ns() - time.monotonic_ns()
+    0 stands for long ago in the module's words, so moments begin at `ORIGIN`.
+    """
+
+    ORIGIN = 1 << 50  # some 35 years: more than any span that is taken off a moment
 
     def now(self) -> int:
-        return (self._anchor + time.monotonic_ns()) // 1000
+        return self.ORIGIN + time.monotonic_ns() // 1000
 
 
 class Gateway:
@@ -153,13 +155,13 @@
         self._attempt_time = attempt_time
         self._balancer.retune(settings)
 
-    def learnt(self) -> Learnt:
-        """What the module of a process in this one's place goes on from."""
-        return self._balancer.learnt()
+    def learnt(self, now: int) -> Learnt:
+        """What the module of a process in this one's place goes on from, in spans from now."""
+        return self._balancer.learnt(now)
 
-    def resume(self, learnt: Learnt, part: float) -> None:
+    def resume(self, learnt: Learnt, part: float, now: int) -> None:
         """Go on from what the module of another process learnt, for a part of its requests."""
-        self._balancer.resume(learnt, part)
+        self._balancer.resume(learnt, part, now)
 
     def scale(self, by: float) -> None:
         """The module has so many times the requests that it had."""
--- a/whinrouter/operations/desk.py
+++ b/whinrouter/operations/desk.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from whinrouter.control.calls import Calls, RefusedError
 from whinrouter.interface import ServerId, Update
+from whinrouter.membership.starts import StartAge, StartTimes
 from whinrouter.net.hosts import HostList, Member, number
 from whinrouter.operations.maintenance import Maintenance, NoSuchHostError
 from whinrouter.operations.presence import Presence
@@ -22,15 +23,16 @@
 class Desk:
     """The operators' side of one process."""
 
-    now: Callable[[], int]  # Unix time in microseconds
+    now: Callable[[], int]  # the module's moments, in microseconds
     time: Callable[[], float]  # seconds of the clock that presence goes by
     tell: Callable[[HostList, bool], None]  # the driver; the second: it is an old whole list
     presence: Presence
     maintenance: Maintenance = field(default_factory=Maintenance)
+    starts: StartTimes = field(default_factory=StartTimes)
     share: Callable[[str, str], None] = lambda name, word: None  # what was called, to the other process
     heard: Callable[[HostList], None] = lambda told: None  # what was listed, likewise
     revision: int = 0
-    members: dict[ServerId, Member] = field(default_factory=dict)  # of those that are listed
+    members: dict[ServerId, Member] = field(default_factory=dict)  # those that are listed, as they are told
 
     def register(self, calls: Calls, ready: Callable[[], bool]) -> None:
         """Add what operators may call."""
@@ -72,6 +74,17 @@
             self.tell(HostList(self.revision, False, members), False)
         return f"{host} {'out' if name == 'OFFLINE' else 'in'}"
 
+    def adopt(
+        self,
+        out: Mapping[ServerId, int],
+        back: Mapping[ServerId, int],
+        starts: Mapping[ServerId, StartAge],
+        now: int,
+    ) -> None:
+        """Go on from what another process of this gateway knows, told as ages."""
+        self.maintenance.adopt(out, back, now)
+        self.starts.adopt(starts, now)
+
     def others(self, told: HostList) -> None:
         """The other process was told of hosts that stop; of what is newer here it knows nothing."""
         if told.revision > self.revision:
@@ -86,12 +99,14 @@
         self._follow(told, update, stale)
 
     def _follow(self, told: HostList, update: Update, stale: bool) -> None:
-        shown = self.maintenance.follow(update, tuple(member.server for member in told.members))
+        servers = self.starts.localise((member.server for member in told.members), self.now())
+        shown = self.maintenance.follow(update, servers)
         if update is not Update.CHANGES:
             self.members = {}
         for member in told.members:
             self.members[member.server.id] = member
         for server_id in [server_id for server_id in self.members if server_id not in self.maintenance.told]:
             del self.members[server_id]
+        self.starts.limit(self.members.keys())
         members = tuple(Member(server, m.address) for server, m in zip(shown, told.members, strict=True))
         self.tell(HostList(told.revision, told.complete, members), stale)
--- a/whinrouter/operations/maintenance.py
+++ b/whinrouter/operations/maintenance.py
@@ -11,7 +11,8 @@
 tells a start later than that. One call is one restart: the start that discovery then tells, which lies
 before that call, is no second one.
 
-It is told times and does no I/O. Times are Unix time in microseconds, as a server's `started`.
+It is told times and does no I/O. Times are microseconds of one monotonic clock, as a server's `started`
+is once `membership/starts.py` has read it; another process is told spans.
 """
 
 from __future__ import annotations
@@ -85,6 +86,13 @@
         self.back[server_id] = now
         return (self._shown(server),)
 
-    def adopt(self, out: Mapping[ServerId, int], back: Mapping[ServerId, int]) -> None:
-        """Go on with what another process of this gateway has."""
-        self.out, self.back = dict(out), dict(back)
+    def ages(self, now: int) -> tuple[dict[ServerId, int], dict[ServerId, int]]:
+        """How long ago hosts were taken out, and put back: what another process goes on from."""
+        out = {server_id: now - moment for server_id, moment in self.out.items()}
+        back = {server_id: now - moment for server_id, moment in self.back.items()}
+        return out, back
+
+    def adopt(self, out: Mapping[ServerId, int], back: Mapping[ServerId, int], now: int) -> None:
+        """Go on with what another process of this gateway has, told as ages."""
+        self.out = {server_id: now - age for server_id, age in out.items()}
+        self.back = {server_id: now - age for server_id, age in back.items()}
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -289,11 +290,11 @@
     def filter(self, record: logging.LogRecord) -> bool:
         if record.name == "whinrouter.audit":  # who did what, without a gap
             return True
-        kind = str(record.msg)
-        if record.created < self._said.get(kind, 0.0) + SELDOM:
+        kind, now = str(record.msg), time.monotonic()  # the wall clock may be stepped back by an hour
+        if now < self._said.get(kind, -SELDOM) + SELDOM:
             self._left_out[kind] = self._left_out.get(kind, 0) + 1
             return False
-        self._said[kind] = record.created
+        self._said[kind] = now
         left_out = self._left_out.pop(kind, 0)
         if left_out:
             record.msg = f"{kind} ({left_out} such lines left out)"
