Own the accept loop, and tell failures of this machine apart from a host's

Change: net/accept.py accepts for clients, operators and the next process: errors of one connection are passed over, a want of resources pauses for 1 to 50 ms, doubled, and ends with the listener. net/connect.py tries failures of this machine again three times within 7 ms and then reports LOCAL_FAILURE, which proves that nothing ran and says nothing of the host. A want of descriptors of our own is one too: the test of the limit on connections expected NOT_SENT, which cut the host's limit, and now expects LOCAL_FAILURE, as strict.

--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -51,7 +51,7 @@
 FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.UNKNOWN}
 # What says nothing of load: where the way to the hosts broke one connection in ten, all limits stood at their
 # least and half of the requests were refused.
-NO_LOAD = {Outcome.CANCELLED, Outcome.RESET}
+NO_LOAD = {Outcome.CANCELLED, Outcome.RESET, Outcome.LOCAL_FAILURE}
 # Connections that never come up or break tell of the host or the way to it, not of what was asked.
 CLASS_FAILURES = {Outcome.ERROR, Outcome.REJECTED, Outcome.UNKNOWN}
 
--- a/whinrouter/control/shell.py
+++ b/whinrouter/control/shell.py
@@ -15,6 +15,7 @@
 
 from whinrouter.control.calls import Calls
 from whinrouter.control.session import BadCallError, Call, Session, bad
+from whinrouter.net.accept import Acceptor
 
 log = logging.getLogger(__name__)
 audit = logging.getLogger("whinrouter.audit")  # none of its lines is left out
@@ -33,16 +34,16 @@
     def __init__(self, calls: Calls) -> None:
         self.calls = calls
         self.callers: OrderedDict[_Caller, None] = OrderedDict()  # by the time of their coming
-        self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._acceptor: Acceptor | None = None
 
     async def listen(self, host: str, port: int) -> int:
         """Take callers; return the port. OSError if the address is taken."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
-        loop = asyncio.get_running_loop()
         # One accept a turn: none takes a descriptor before it is counted.
-        self._server = await loop.create_server(lambda: _Caller(self), sock=listener, backlog=1)
-        listener.listen(BACKLOG)
+        self._acceptor = Acceptor(listener, lambda: _Caller(self), at_once=1)
+        self._listener = listener
         return int(listener.getsockname()[1])
 
     def admit(self, caller: _Caller) -> None:
@@ -53,8 +54,10 @@
 
     def close(self) -> None:
         """Take no more callers."""
-        if self._server is not None:
-            self._server.close()
+        if self._acceptor is not None:
+            self._acceptor.stop()
+        if self._listener is not None:
+            self._listener.close()
         for caller in list(self.callers):
             caller.drop()
 
--- a/whinrouter/handover/channel.py
+++ b/whinrouter/handover/channel.py
@@ -18,6 +18,7 @@
 
 from whinrouter.handover.line import Line, Step
 from whinrouter.handover.words import Message, TornError, frame
+from whinrouter.net.accept import Acceptor
 
 log = logging.getLogger(__name__)
 
@@ -109,7 +110,8 @@
 
     def __init__(self, path: Path, owner: Owner, accept: Callable[[Peer], bool]) -> None:
         self._path, self._owner, self._accept = path, owner, accept
-        self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._acceptor: Acceptor | None = None
 
     async def open(self) -> None:
         """Be the one at the path."""
@@ -123,8 +125,7 @@
                 listener.bind(short)
             fresh.chmod(0o600)
             listener.listen(MOST_LINES)
-            loop = asyncio.get_running_loop()
-            self._server = await loop.create_unix_server(self._make, sock=listener)
+            self._listener, self._acceptor = listener, Acceptor(listener, self._make, at_once=1)
             fresh.rename(self._path)
         except OSError as error:
             log.warning("handover: nobody can ask here (%s)", error)
@@ -139,6 +140,9 @@
 
     def close(self) -> None:
         """Answer nobody any more; the path stays, as it may be another's by now."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        if self._acceptor is not None:
+            self._acceptor.stop()
+            self._acceptor = None
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -62,6 +62,7 @@
     RESET = "reset"  # the connection broke under the attempt
     CANCELLED = "cancelled"  # withdrawn by the balancer
     NOT_SENT = "not sent"
+    LOCAL_FAILURE = "local failure"  # the balancer's own machine could not: it tells nothing of the server
     UNKNOWN = "unknown"  # anything else: it may have run
 
     __hash__ = object.__hash__  # there is one of each; an Enum's own hashes its name, in Python, at each look
@@ -72,7 +73,7 @@
         return self in _NEVER_RAN
 
 
-_NEVER_RAN = frozenset({Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
+_NEVER_RAN = frozenset({Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.LOCAL_FAILURE})
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/whinrouter/net/accept.py
@@ -0,0 +1,114 @@
+"""The accept loop of one listening socket.
+
+Theory of operation. accept() fails for two kinds of reason (accept(2)). One is about the connection that was
+to be accepted: it was reset while it waited, or a network error is already pending on it. The next one may
+be taken at once. The other is a want of descriptors or memory, here or in the whole system: the connection
+stays in the queue and the socket stays readable, so that asking again at once would spin. Then the loop
+pauses for `FIRST_PAUSE`, doubled with each failure in a row up to `LONGEST_PAUSE`, which is short beside the
+shortest deadlines of clients.
+
+    ACCEPTING --a want of resources--> PAUSED --the pause is over--> ACCEPTING
+    either    --stop-----------------> STOPPED, for good: neither a reader nor a timer is left
+
+asyncio's own server waits for a second after each such failure, and its timer gives a listener that was
+closed meanwhile its reader back.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+import socket
+from collections.abc import Callable
+
+log = logging.getLogger(__name__)
+
+FIRST_PAUSE, LONGEST_PAUSE = 0.001, 0.05  # seconds
+# What says something of one connection alone: a reset, or a network error that accept(2) tells to pass over.
+OF_ONE_CONNECTION = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.EPROTO,
+        errno.ENETDOWN,
+        errno.ENOPROTOOPT,
+        errno.EHOSTDOWN,
+        errno.ENONET,
+        errno.EHOSTUNREACH,
+        errno.EOPNOTSUPP,
+        errno.ENETUNREACH,
+        errno.EPERM,  # a rule of the machine's firewall
+    }
+)
+
+
+class Acceptor:
+    """Gives each connection of a listening socket a protocol of its own, until it is stopped."""
+
+    def __init__(
+        self, listener: socket.socket, protocol: Callable[[], asyncio.BaseProtocol], at_once: int
+    ) -> None:
+        """`at_once`: connections that are accepted in one turn of the loop at most."""
+        self._listener = listener
+        self._protocol = protocol
+        self._at_once = at_once
+        self._loop = asyncio.get_running_loop()
+        self._pause = FIRST_PAUSE
+        self._resumes: asyncio.TimerHandle | None = None
+        self._setting_up: set[asyncio.Task[None]] = set()
+        listener.setblocking(False)
+        self._loop.add_reader(listener, self._accept)
+
+    @property
+    def setting_up(self) -> bool:
+        """Whether a connection that was accepted has not had its first call yet."""
+        return bool(self._setting_up)
+
+    def stop(self) -> None:
+        """Accept no more; what was accepted still comes up, and the socket stays open."""
+        self._suspend()
+
+    def _suspend(self) -> None:
+        if self._resumes is not None:
+            self._resumes.cancel()
+            self._resumes = None
+        if self._listener.fileno() >= 0:
+            self._loop.remove_reader(self._listener)
+
+    def _resume(self) -> None:
+        self._resumes = None
+        self._loop.add_reader(self._listener, self._accept)
+
+    def _accept(self) -> None:
+        for _ in range(self._at_once):
+            try:
+                connection, _ = self._listener.accept()
+            except (BlockingIOError, InterruptedError):  # none waits, or another process was faster
+                return
+            except OSError as error:
+                if error.errno in OF_ONE_CONNECTION:
+                    log.info("accept: %s; taking the next one", error.strerror)
+                    continue
+                self._pause_after(error)
+                return
+            self._pause = FIRST_PAUSE
+            self._set_up(connection)
+
+    def _pause_after(self, error: OSError) -> None:
+        log.warning("accept: %s; trying again after a pause", error.strerror)
+        self._suspend()
+        self._resumes = self._loop.call_later(self._pause, self._resume)
+        self._pause = min(2 * self._pause, LONGEST_PAUSE)
+
+    def _set_up(self, connection: socket.socket) -> None:
+        connection.setblocking(False)
+        task = self._loop.create_task(self._connect(connection))
+        self._setting_up.add(task)
+        task.add_done_callback(self._setting_up.discard)
+
+    async def _connect(self, connection: socket.socket) -> None:
+        try:
+            await self._loop.connect_accepted_socket(self._protocol, connection)
+        except OSError as error:
+            log.warning("a connection that was accepted could not be set up: %s", error.strerror)
+            connection.close()
--- a/whinrouter/net/attempt.py
+++ b/whinrouter/net/attempt.py
@@ -104,7 +104,7 @@
         self.started = now  # loop time
         self._ended: Ended | None = ended
         self.connection: Carrier | None = None
-        self.task: asyncio.Task[None] | None = None
+        self.task: asyncio.Task[Any] | None = None
         self.waited = 0.0  # seconds for which its answer lay here unread
         self.timer: Timer | None = None  # of whoever sends: needless once this has ended
 
--- a/whinrouter/net/connect.py
+++ b/whinrouter/net/connect.py
@@ -8,31 +8,78 @@
 import os
 import socket
 from collections.abc import Callable
+from enum import Enum
 from typing import TypeVar
 
+from whinrouter.net.accept import Acceptor
 from whinrouter.net.sockets import readable
 
 log = logging.getLogger(__name__)
 
 BACKLOG = 512  # connections that wait in the system for their turn
 ACCEPTED_AT_ONCE = 4  # each takes a descriptor before anyone can count it
-# Turns of the loop from an accept to the connection's first call; a server closed before that loses it.
-ACCEPT_TURNS = 3
+ACCEPT_TURNS = 3  # of the loop in which nothing waits to be accepted before the queue counts as empty
 ACCEPT_REST = 0.5  # seconds for taking what waits to be accepted when the listener closes
 
+# Errors of socket() and connect() that arise on this machine, before anything has left it. ENETUNREACH is the
+# routing table's word; a peer that can't be reached is EHOSTUNREACH or ETIMEDOUT.
+LOCAL_ERRORS = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EMFILE,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EPERM,
+    }
+)
+LOCAL_RETRY_PAUSES = (0.001, 0.002, 0.004)  # seconds before each further try
+
 P = TypeVar("P", bound=asyncio.BaseProtocol)
 
 
+class ConnectResult(Enum):
+    """What came of an attempt to connect."""
+
+    UP = "up"
+    FAILED = "failed"  # refused, reset or not up in time, be it the peer or the way to it
+    LOCAL_FAILURE = "local failure"  # this machine lacked something: it tells nothing of the peer
+
+
+async def open_connection(protocol: Callable[[], P], address: tuple[str, int]) -> P:
+    """Connect; a failure of this machine alone is tried again a few times, milliseconds apart.
+
+    OSError as the last try had it. There is no limit of time: the caller sets one.
+    """
+    loop = asyncio.get_running_loop()
+    for pause in LOCAL_RETRY_PAUSES:
+        try:
+            return (await loop.create_connection(protocol, *address))[1]
+        except OSError as error:
+            if error.errno not in LOCAL_ERRORS:
+                raise
+            log.info("connect: %s; trying again", error.strerror)
+        await asyncio.sleep(pause)
+    return (await loop.create_connection(protocol, *address))[1]
+
+
 async def connect(
     protocol: Callable[[], P], address: tuple[str, int], seconds: float, up: Callable[[P], None]
-) -> None:
-    """Connect within so many seconds and call `up`; if it comes to nothing, end without a call."""
+) -> ConnectResult:
+    """Connect within so many seconds and call `up`; if it comes to nothing, say why."""
     try:
         async with asyncio.timeout(seconds):
-            _, connection = await asyncio.get_running_loop().create_connection(protocol, *address)
-    except (OSError, TimeoutError):
-        return
+            connection = await open_connection(protocol, address)
+    except TimeoutError:
+        return ConnectResult.FAILED
+    except OSError as error:
+        return ConnectResult.LOCAL_FAILURE if error.errno in LOCAL_ERRORS else ConnectResult.FAILED
     up(connection)
+    return ConnectResult.UP
 
 
 class Listener:
@@ -40,7 +87,7 @@
 
     def __init__(self, protocol: Callable[[], asyncio.BaseProtocol]) -> None:
         self._protocol = protocol
-        self._server: asyncio.Server | None = None
+        self._acceptor: Acceptor | None = None
         self._socket: socket.socket | None = None
         self.shared = False  # other processes accept from the same socket
 
@@ -72,14 +119,7 @@
         """Take connections at the address that is bound; return its port."""
         listener = self._socket
         assert listener is not None
-        server = await asyncio.get_running_loop().create_server(
-            self._protocol, sock=listener, backlog=ACCEPTED_AT_ONCE
-        )
-        if self._socket is not listener:  # it was closed meanwhile
-            server.close()
-            return 0
-        self._server = server
-        # asyncio took the number for both, the queue and how many it accepts at once
+        self._acceptor = Acceptor(listener, self._protocol, ACCEPTED_AT_ONCE)
         listener.listen(BACKLOG)
         return int(listener.getsockname()[1]) if listener.family != socket.AF_UNIX else 0
 
@@ -88,25 +128,27 @@
 
         What waits at a shared one is the others': only what was accepted has to come up.
         """
-        if self.shared and self._socket is not None:
-            asyncio.get_running_loop().remove_reader(self._socket)
-            for _ in range(ACCEPT_TURNS):
-                await asyncio.sleep(0)
-            return
-        quiet = 0
+        quiet, acceptor = 0, self._acceptor
+        if self.shared and acceptor is not None:
+            acceptor.stop()
         try:
             async with asyncio.timeout(ACCEPT_REST):
-                while self._socket is not None and quiet < ACCEPT_TURNS:
+                while not self.shared and self._socket is not None and quiet < ACCEPT_TURNS:
                     quiet = 0 if readable(self._socket) else quiet + 1
                     await asyncio.sleep(0)
+                while acceptor is not None and acceptor.setting_up:
+                    await asyncio.sleep(0)
         except TimeoutError:
             log.warning("connections still came faster than they were accepted")
 
     def close(self) -> None:
         """Take no new connection."""
-        self._socket = None
-        if self._server is not None:
-            self._server.close()
+        listener, self._socket = self._socket, None
+        acceptor, self._acceptor = self._acceptor, None
+        if acceptor is not None:
+            acceptor.stop()
+        if listener is not None:
+            listener.close()
 
 
 def _unix_socket(path: str) -> socket.socket:
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -14,6 +14,7 @@
 from whinrouter.interface import MS, Server, State
 from whinrouter.membership.patience import IN_LINE, Patience
 from whinrouter.membership.texts import Texts
+from whinrouter.net.connect import open_connection
 from whinrouter.net.hosts import HostList, Member, number
 
 log = logging.getLogger(__name__)
@@ -192,7 +193,7 @@
         asked_at = loop.time()
         try:
             async with asyncio.timeout(patience.connect):
-                await loop.create_connection(lambda: watching, host, port)
+                await open_connection(lambda: watching, (host, port))
         except (OSError, TimeoutError) as error:
             return f"no connection ({error or 'too slow'})", False, False
         try:
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -11,7 +11,7 @@
 
 from whinrouter.interface import Outcome, ServerId, State
 from whinrouter.net.attempt import Attempt, Bar, Began, Ended
-from whinrouter.net.connect import connect
+from whinrouter.net.connect import ConnectResult, connect
 from whinrouter.net.hosts import Member
 from whinrouter.net.http import LAST_CHUNK, Message, Reading, ResponseReader, chunk
 from whinrouter.net.sockets import acknowledged, age, poller
@@ -361,13 +361,14 @@
             connection.drop()
         if self.open >= self.limit and not self._make_room():
             log.warning("no descriptor is left for another connection")
-            return None
+            attempt.end(Outcome.LOCAL_FAILURE)
+            return attempt
         self._connecting += 1
         host.connecting.add(attempt)
         up = partial(self._up, host, attempt)
         connecting = connect(lambda: _Connection(self, host), host.member.address, self._connect_time, up)
         attempt.task = self._loop.create_task(connecting)
-        attempt.task.add_done_callback(lambda _: self._connected(host, attempt))
+        attempt.task.add_done_callback(partial(self._connected, host, attempt))
         return attempt
 
     def _make_room(self) -> bool:
@@ -386,10 +387,12 @@
         elif connection.usable:  # one reset as soon as it was up would never report that it is lost
             connection.carry(attempt, self.now())
 
-    def _connected(self, host: _Host, attempt: Attempt) -> None:
+    def _connected(self, host: _Host, attempt: Attempt, task: asyncio.Task[ConnectResult]) -> None:
         """The task is over, be it that it was cancelled before its first step, when nothing in it has run."""
         self._connecting -= 1
         host.connecting.discard(attempt)
         attempt.task = None
         if attempt.connection is None:
-            attempt.end(Outcome.CONNECT_FAILED)
+            ended = not task.cancelled() and task.exception() is None
+            is_local = ended and task.result() is ConnectResult.LOCAL_FAILURE
+            attempt.end(Outcome.LOCAL_FAILURE if is_local else Outcome.CONNECT_FAILED)
