Check each rule as it runs: a guard each for sending, repeating, answering and closing

Need: rules were kept on each path by the code of that path, and nothing counted where one was not.

Change: whinrouter/invariants/ (pure): the life of a request as states, guards that the driver asks before the first byte of any attempt (Upstream._begin is the only way to one), any final answer (Gateway._give) and any close of a client's connection; eleven invariants by name. A violation is counted, logged with the request's latest events, told by the call VIOLATIONS and at the end; where the request can still be saved the guard says no.

One test said that a request's time was up by a deadline of 0; it now sets the present moment, as the guard takes 0 for an answer years late.

The cost a request is not measured yet.

--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -41,7 +41,7 @@
     Settings,
     Update,
 )
-from whinrouter.net.attempt import Attempt, Bar, Began, Ended
+from whinrouter.net.attempt import Attempt, Began, Ended, MayBegin
 from whinrouter.net.frontend import Frontend
 from whinrouter.net.gateway import Answer, Gateway
 from whinrouter.net.hosts import HostList, Member
@@ -113,9 +113,11 @@
         owner: Any = None,
         number: int = 0,
         began: Began | None = None,
-        bar: Bar | None = None,
+        may_begin: MayBegin | None = None,
     ) -> Attempt | None:
-        attempt = Attempt(self._targets[server], message, expires, ended, owner, number, 0.0, began, bar)
+        attempt = Attempt(
+            self._targets[server], message, expires, ended, owner, number, 0.0, began, may_begin
+        )
         self.waiting.append(attempt)
         return attempt
 
--- a/setup.py
+++ b/setup.py
@@ -11,6 +11,8 @@
     "whinrouter/breaker.py",
     "whinrouter/host.py",
     "whinrouter/interface.py",
+    "whinrouter/invariants/events.py",
+    "whinrouter/invariants/lifecycle.py",
     "whinrouter/ownlimit.py",
     "whinrouter/shedding.py",
     "whinrouter/slowstart.py",
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -265,6 +265,7 @@
     port = await frontend.listen("127.0.0.1", 0)
     try:
         yield Running(gateway, upstream, frontend, balancer, port)
+        assert gateway.guards.violations.summary() == "none"
     finally:
         frontend.close()
 
--- a/tests/test_begins.py
+++ b/tests/test_begins.py
@@ -15,7 +15,7 @@
 from tests.peers import Peer, change, peers, request_text, resets, running, says, scenario, until
 from whinrouter.balance import Balancer
 from whinrouter.interface import MS, SECOND, Effect, Outcome, RequestClass, Scope, Server, Settings
-from whinrouter.net.attempt import Attempt, Bar, Began, Ended
+from whinrouter.net.attempt import Attempt, Began, Ended, MayBegin
 from whinrouter.net.gateway import Answer, Asked, Gateway
 from whinrouter.net.hosts import HostList, Member
 from whinrouter.net.http import Message
@@ -97,15 +97,15 @@
         owner: Any = None,
         number: int = 0,
         began: Began | None = None,
-        bar: Bar | None = None,
+        may_begin: MayBegin | None = None,
     ) -> Attempt | None:
-        self.attempts.append(Attempt(self, message, expires, ended, owner, number, 0.0, began, bar))
+        self.attempts.append(Attempt(self, message, expires, ended, owner, number, 0.0, began, may_begin))
         return self.attempts[-1]
 
     def barred(self, number: int) -> Outcome | None:
         attempt = self.attempts[number]
-        assert attempt.bar is not None
-        return attempt.bar(attempt)
+        assert attempt.may_begin is not None
+        return attempt.may_begin(attempt, True, True)
 
 
 def _ask(gateway: Gateway, patience: int = 20 * SECOND) -> list[Answer]:
--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -230,7 +230,7 @@
         await until(lambda: host.requests)
         (held,) = proxy.gateway._held.values()
         await says()(host.requests[0], host.askers[0])
-        held.deadline = 0  # its time is up, and the answer unread
+        held.life.deadline = proxy.gateway.clock.now()  # its time is up, and the answer unread
         proxy.gateway._expire(held)
         assert (await client.answer()).status == 200
 
--- a/tests/test_unread.py
+++ b/tests/test_unread.py
@@ -26,6 +26,7 @@
     until,
 )
 from whinrouter.interface import SECOND
+from whinrouter.invariants.lifecycle import CloseReason
 from whinrouter.net import frontend
 
 SECONDS = max(kind.deadline for kind in SETTINGS.classes) / SECOND  # for which a client waits at the most
@@ -194,7 +195,7 @@
         client = await proxy.client()
         assert (await client.ask()).status == 200
         (connection,) = proxy.frontend.connections
-        connection.drop()
+        connection.drop(CloseReason.MAKES_ROOM)
         endpoint = client.writer.get_extra_info("socket")
         with socket.socket(fileno=socket.dup(endpoint.fileno())) as seen:
             seen.setblocking(False)
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -86,6 +86,11 @@
         self._gap, self._heard = 0.0, 0  # mean time between two answers, and when the last one came
         self._marks: dict[str, float] = {}  # by class, the multiple of it after which an attempt is late
 
+    @property
+    def settings(self) -> Settings:
+        """Those in force."""
+        return self._settings
+
     def handle(self, event: Event, now: int) -> list[Action]:
         if isinstance(event, Request):
             return self._on_request(event, now)
--- a/whinrouter/control/shell.py
+++ b/whinrouter/control/shell.py
@@ -25,6 +25,7 @@
 # call.
 PATIENCE = 10.0
 BACKLOG = 64
+PROBES = frozenset({"HEALTH", "VIOLATIONS"})  # calls that a monitor makes all day: they are not audited
 LINGER = 1.0  # seconds for which a caller may go on sending behind its line: to close at once would reset it
 
 
@@ -106,7 +107,7 @@
         except Exception:
             log.exception("failed on a call")
             answer = bad("a fault of the gateway's own; its log has the trace")
-        if call.name != "HEALTH":  # a probe asks it all day
+        if call.name not in PROBES:
             audit.info("control: %s: %s", " ".join((call.name, *call.words)), answer.decode().rstrip())
         self._say(answer)
 
--- a/whinrouter/handover/succession.py
+++ b/whinrouter/handover/succession.py
@@ -39,6 +39,7 @@
     Stopped,
 )
 from whinrouter.interface import Server, State
+from whinrouter.invariants.events import EventKind
 from whinrouter.net.frontend import Frontend
 from whinrouter.net.gateway import Gateway
 from whinrouter.net.hosts import HostList, Member
@@ -127,6 +128,7 @@
 
     def _adopt(self, told: Snapshot) -> None:
         now = self.desk.now()
+        self.gateway.note(EventKind.TAKEN_OVER, "from an older process")
         self.desk.adopt(told.out, told.back, told.starts, now)
         self.desk.listed(HostList(told.revision, True, tuple(map(member, told.hosts))))
         self.gateway.resume(told.learnt, PART, now)
@@ -230,6 +232,7 @@
     async def _give_way(self, line: Peer) -> None:
         """The newer one serves: what connects is its own; say what is still held here."""
         self.replaced = True
+        self.gateway.note(EventKind.TAKEN_OVER, "by a newer process")
         if self._post is not None:
             self._post.close()
         await self.frontend.listener.accept_rest()
--- /dev/null
+++ b/whinrouter/invariants/lifecycle.py
@@ -0,0 +1,216 @@
+"""The life of a request, and one guard each for starting, sending, repeating, answering and closing.
+
+Theory of operation. The driver asks a guard before it does any of these, wherever the wish came from: the
+module, a timer, a client, a host, a list or the end of the process. A guard knows what was done for the
+request so far and nothing of why it is to be done now.
+
+    ADMITTED --an attempt waits for its connection--> WAITING --its first byte leaves--> SENT
+    ADMITTED, SENT --an attempt goes out on an idle connection-----------------------------> SENT
+    any of these --the final answer--> ANSWERED          any of these --the client leaves--> GONE
+
+ANSWERED and GONE are final. What a guard finds violated is counted (`violations.py`). Where the request can
+still be saved the guard also says no: an attempt that may not begin is not sent, a refusal that would promise
+too much becomes a failure, and a second answer is dropped. It reads no clock and does no I/O; moments are
+microseconds of one clock.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from whinrouter.interface import MS, Effect, Outcome, RequestClass, Scope, Server, Settings
+from whinrouter.invariants.events import PROCESS, EventKind, EventRing
+from whinrouter.invariants.violations import Invariant, Violations
+
+DEADLINE_SLACK = 150 * MS  # by which what a host is told may pass what the client has left
+ANSWER_SLACK = 500 * MS  # for which an answer after the client's time is worth nothing, but not lost
+REFUSALS = frozenset({429, 503})
+
+
+class RequestState(Enum):
+    """How far a request is."""
+
+    ADMITTED = "admitted"
+    WAITING = "waiting"
+    SENT = "sent"
+    ANSWERED = "answered"
+    GONE = "gone"
+
+
+FINAL_STATES = frozenset({RequestState.ANSWERED, RequestState.GONE})
+
+
+class CloseReason(Enum):
+    """Why a connection of a client is closed."""
+
+    CLIENT_LEFT = "its client left"
+    BAD_INPUT = "what it sent can't be read"
+    BODY_STALLED = "a body on its way is not moved"
+    ANSWER_BROKEN = "its answer broke off"
+    ANSWERED = "its answer was to be the last"
+    IDLE = "idle"
+    OVERDUE = "it has waited long enough"
+    MAKES_ROOM = "it makes room for another"
+    SURPLUS = "more connections than there may be"
+    SHUTDOWN = "the process takes no more"
+    OVERLOAD = "it was refused unread"
+
+
+# What ends a request by no act of this gateway's own; any other reason has to find nothing owed.
+FREES_REQUEST = frozenset(
+    {CloseReason.CLIENT_LEFT, CloseReason.BAD_INPUT, CloseReason.BODY_STALLED, CloseReason.ANSWER_BROKEN}
+)
+
+
+class RequestLife:
+    """What was done for one request so far."""
+
+    def __init__(self, request: int, kind: RequestClass | None, deadline: int) -> None:
+        self.request = request
+        self.state = RequestState.ADMITTED
+        self.deadline = deadline  # of its client, less what its way takes
+        self.kind = kind  # None: a class never announced, which may not run twice
+        self.sent = 0  # attempts whose first byte has left
+        self.never_ran = 0  # how many of these have ended so that nothing ran
+        self.first_sent = 0  # moment of the first attempt that may have run, and where it went
+        self.first_server: Server | None = None
+        self.last_outcome = ""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any attempt has, or yet may."""
+        return self.sent > self.never_ran
+
+
+class Guards:
+    """The guards of one process; every path that does anything for a request asks here."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.ring = EventRing()
+        self.violations = Violations(self.ring)
+        self._classes: dict[str, RequestClass] = {}
+        self.retune(settings)
+
+    def retune(self, settings: Settings) -> None:
+        """Requests that are under way keep their class."""
+        self._classes = {kind.name: kind for kind in settings.classes}
+
+    def start(self, request: int, class_name: str, deadline: int, now: int, name: str) -> RequestLife:
+        """A request is taken on: an answer is owed from now on."""
+        self.ring.record(now, EventKind.ADMITTED, request, 0, name)
+        return RequestLife(request, self._classes.get(class_name), deadline)
+
+    def wait(self, life: RequestLife, attempt: int, now: int) -> None:
+        """An attempt waits for a connection."""
+        if life.state in FINAL_STATES:
+            self._violated(Invariant.STATE_ORDER, life, now, f"an attempt waits though {life.state.value}")
+            return
+        life.state = RequestState.WAITING
+        self.ring.record(now, EventKind.WAITING, life.request, attempt, "for a connection")
+
+    def may_send(
+        self, life: RequestLife, attempt: int, server: Server, ready: bool, told: int, now: int
+    ) -> bool:
+        """Whether the first byte of an attempt may leave now; `told`: the microseconds that its host hears.
+
+        `ready`: whether the host may be sent to, as this process has been told.
+        """
+        if life.state in FINAL_STATES or now > life.deadline:
+            why = life.state.value if life.state in FINAL_STATES else "its time is up"
+            return self._violated(Invariant.SENT_WHILE_OWED, life, now, f"attempt {attempt}, though {why}")
+        if not ready:
+            return self._violated(Invariant.SENT_TO_READY_HOST, life, now, f"attempt {attempt}")
+        if told > life.deadline - now + DEADLINE_SLACK:
+            return self._violated(
+                Invariant.DEADLINE_TOLD, life, now, f"{told} told, {life.deadline - now} left"
+            )
+        if life.may_have_run and not self._may_repeat(life, server, now):
+            return self._violated(Invariant.REPEATED_ONLY_SAFELY, life, now, f"attempt {attempt}")
+        self._count_sent(life, attempt, server, now)
+        return True
+
+    def _count_sent(self, life: RequestLife, attempt: int, server: Server, now: int) -> None:
+        why = "first"
+        if life.sent:
+            why = f"retry after {life.last_outcome}" if life.last_outcome else "hedge"
+        if not life.may_have_run:
+            life.first_sent, life.first_server = now, server
+        life.sent += 1
+        life.last_outcome = ""
+        life.state = RequestState.SENT
+        self.ring.record(now, EventKind.SENT, life.request, attempt, why)
+
+    def _may_repeat(self, life: RequestLife, server: Server, now: int) -> bool:
+        kind, first = life.kind, life.first_server
+        if kind is None or first is None or kind.effect is Effect.AT_MOST_ONCE:
+            return False
+        if kind.effect is Effect.IDEMPOTENT:
+            return True
+        remembered = now < life.first_sent + kind.dedup_window
+        if kind.scope is Scope.ALL:
+            return remembered
+        same = server.zone == first.zone if kind.scope is Scope.ZONE else server.cell == first.cell
+        return remembered and same
+
+    def attempt_ended(self, life: RequestLife, attempt: int, begun: bool, outcome: Outcome, now: int) -> None:
+        """An attempt is over; `begun`: `may_send` has let it begin."""
+        life.never_ran += begun and outcome.never_ran
+        life.last_outcome = outcome.value
+        self.ring.record(now, EventKind.ENDED, life.request, attempt, outcome.value)
+
+    def may_answer(self, life: RequestLife, status: int, served: bool, why: str, now: int) -> int:
+        """The status that a final answer may have; 0: there may be none any more.
+
+        `served`: it is what a host answered to an attempt of this request.
+        """
+        if life.state in FINAL_STATES:
+            self._violated(Invariant.ANSWERED_ONCE, life, now, f"{status}, though {life.state.value}")
+            return 0
+        if status == 200 and not served:
+            self._violated(Invariant.ANSWER_OF_ITS_OWN, life, now, why)
+            status = 502
+        if status in REFUSALS and not self._may_refuse(life):
+            self._violated(Invariant.REFUSED_ONLY_UNRUN, life, now, f"{status}: {why}")
+            status = 502
+        if now > life.deadline + ANSWER_SLACK:
+            self._violated(Invariant.ANSWERED_IN_TIME, life, now, f"{now - life.deadline} late")
+        life.state = RequestState.ANSWERED
+        self.ring.record(now, EventKind.ANSWERED, life.request, 0, why)
+        return status
+
+    def _may_refuse(self, life: RequestLife) -> bool:
+        kind = life.kind
+        if not life.may_have_run:
+            return True
+        if kind is None or kind.effect is Effect.AT_MOST_ONCE:
+            return False
+        return kind.effect is Effect.IDEMPOTENT or kind.scope is Scope.ALL
+
+    def leave(self, life: RequestLife, now: int) -> None:
+        """The client has left: nothing is owed."""
+        if life.state is not RequestState.ANSWERED:
+            life.state = RequestState.GONE
+        self.ring.record(now, EventKind.GONE, life.request, 0, "its client left")
+
+    def close(self, request: int, owed: bool, reason: CloseReason, now: int) -> None:
+        """A client's connection is closed.
+
+        `request`: the one in work there, or `PROCESS`; `owed`: whether it, or one that waits behind it, has
+        no final answer yet.
+        """
+        self.ring.record(now, EventKind.CLOSED, request, 0, reason.value)
+        if owed and reason not in FREES_REQUEST:
+            self.violations.add(Invariant.CLOSED_WHEN_FREE, now, request, reason.value)
+
+    def happened(self, kind: EventKind, detail: str, now: int) -> None:
+        """Something befell the process."""
+        self.ring.record(now, kind, PROCESS, 0, detail)
+
+    def exit(self, held: int, now: int) -> None:
+        """The process ends while so many requests are owed an answer."""
+        if held:
+            self.violations.add(Invariant.ANSWERED_AT_EXIT, now, PROCESS, f"{held} held")
+
+    def _violated(self, invariant: Invariant, life: RequestLife, now: int, detail: str) -> bool:
+        self.violations.add(invariant, now, life.request, detail)
+        return False
--- a/whinrouter/net/attempt.py
+++ b/whinrouter/net/attempt.py
@@ -13,7 +13,7 @@
 
 Ended = Callable[["Attempt", Outcome, Message | None], None]
 Began = Callable[["Attempt", Message], None]
-Bar = Callable[["Attempt"], Outcome | None]
+MayBegin = Callable[["Attempt", bool, bool], Outcome | None]
 
 
 class Carrier(Protocol):
@@ -50,12 +50,12 @@
         owner: Any = None,
         number: int = 0,
         began: Began | None = None,
-        bar: Bar | None = None,
+        may_begin: MayBegin | None = None,
     ) -> Attempt | None:
         """Start an attempt; None if the host may not be sent to. It may end before this returns.
 
-        `bar`: what it ends with instead of beginning, asked where it had to wait for its connection; None: it
-        begins.
+        `may_begin`: asked before its first byte leaves, with whether the host may be sent to and whether it
+        had to wait for its connection: what it ends with instead of beginning; None: it begins.
         `began` is called with an answer that is served and whose body is passed on as it comes; with None,
         such an answer is of no use. The attempt ends with its body.
         """
@@ -66,11 +66,12 @@
 
     __slots__ = (
         "_ended",
-        "bar",
         "began",
+        "begun",
         "connection",
         "expires",
         "host",
+        "may_begin",
         "message",
         "number",
         "owner",
@@ -91,10 +92,11 @@
         number: int,
         now: float,
         began: Began | None = None,
-        bar: Bar | None = None,
+        may_begin: MayBegin | None = None,
     ) -> None:
         self.began = began
-        self.bar = bar
+        self.may_begin = may_begin
+        self.begun = False  # its first byte was let out
         self.streams = False  # its answer goes to the client as it comes
         self.host = host
         self.message = message
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from whinrouter.interface import SECOND, RequestId, Settings
+from whinrouter.invariants.lifecycle import CloseReason
 from whinrouter.net.connect import Listener
 from whinrouter.net.door import Door
 from whinrouter.net.gateway import MARGIN, Answer, Gateway
@@ -193,7 +194,7 @@
         may_go = (other for other in self.waiting if gives_way(other) and not other.owed)
         for other in list(islice(may_go, LOOKS)):
             if other.dispensable or other.lingering:
-                other.drop()
+                other.drop(CloseReason.MAKES_ROOM)
                 return True
             self.waiting.move_to_end(other)
         return False
@@ -271,6 +272,7 @@
             self._surplus = self._close = True
             self._wait(LINGER)
         else:
+            self._note_close(CloseReason.SURPLUS)
             self._deaf = True
             transport.abort()
 
@@ -335,7 +337,7 @@
     def _broken_input(self, status: HTTPStatus) -> None:
         """Nothing that follows can be told apart."""
         if self._lingering:  # its answer is out: what it was to is no matter any more
-            self._part()
+            self._part(CloseReason.ANSWERED)
         elif self._out is not None:  # a part of an answer has gone out, and the rest of it is due
             self._stop_reading()
             self._close = True
@@ -353,7 +355,7 @@
         # By the longest that it can have been: what the system tells of it is not always to be believed.
         can_be = door.at_most(first) if door else waited
         if can_be > min(self._front.own.target, LEAVES_AFTER) and left(self._transport):
-            self.drop()  # its client has gone meanwhile: all that it could cause is work for nobody
+            self.drop(CloseReason.CLIENT_LEFT)  # all that it could cause is work for nobody
             return None
         return now - waited
 
@@ -368,6 +370,7 @@
             return False
         # Kept, it would ask again at once; anew, it waits to be accepted, which costs nothing here.
         self._transport.write(self._front.turned_away())
+        self._note_close(CloseReason.OVERLOAD)
         self._stop_reading()
         self._transport.close()
         return True
@@ -384,7 +387,7 @@
         if self._out is None:
             self._front.streaming.discard(self)
         if self._lingering:
-            self._part()
+            self._part(CloseReason.ANSWERED)
         elif body is self._own and self._request is not None:
             self._front.gateway.whole(self._request)
 
@@ -409,7 +412,7 @@
 
     def unwanted(self) -> None:
         """Nobody takes the body's rest, and there is no answer to it."""
-        self.drop()
+        self.drop(CloseReason.ANSWER_BROKEN)
 
     def take(self, data: bytes) -> None:
         """A piece of the answer's body."""
@@ -429,6 +432,7 @@
         """The answer's rest will not come: a reset, so that the client can tell."""
         self._out = None
         self._front.waiting.pop(self, None)
+        self._note_close(CloseReason.ANSWER_BROKEN)
         self._deaf = True
         if self._transport is not None:
             reset(self._transport)
@@ -455,7 +459,7 @@
         if self._out is None and self._in is not None:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
-            self.drop()
+            self.drop(CloseReason.BODY_STALLED)
 
     def _count(self) -> None:
         held = sum(len(message.body) for message in self._queued) + self._requests.size
@@ -492,6 +496,7 @@
 
         A request in work ends with it: what follows shows that its length was wrong, and so what it held.
         """
+        self._note_close(CloseReason.BAD_INPUT)
         self._end_request()
         self._stop_reading()
         self._close = True
@@ -541,7 +546,7 @@
             return True
         if not left(self._transport):
             return False
-        self.drop()
+        self.drop(CloseReason.CLIENT_LEFT)
         return True
 
     def _go_on_with_next(self) -> None:
@@ -676,6 +681,7 @@
             self._reject(HTTPStatus.TOO_MANY_REQUESTS)
             return
         if self._close and self._transport is not None:
+            self._note_close(CloseReason.ANSWERED)
             self._stop_reading()
             self._transport.close()
         self._wait(RECEIVE_TIME if self._requests.began else IDLE_TIME)
@@ -697,10 +703,19 @@
         if self._requests.began and not (self._deaf or self._lingering):
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
-            self.drop()
+            self.drop(CloseReason.BODY_STALLED if self._unread else CloseReason.OVERDUE)
 
-    def drop(self) -> None:
+    def _note_close(self, reason: CloseReason) -> None:
+        """Have the guard look at a close, before anything of what is owed is forgotten."""
+        gateway = self._front.gateway
+        is_owed = self._busy or bool(self._queued)
+        gateway.guards.close(self._request or 0, is_owed, reason, gateway.clock.now())
+
+    def drop(self, reason: CloseReason) -> None:
+        """Close it now; what it is owed goes with it."""
         self._front.waiting.pop(self, None)
+        if not self._deaf:
+            self._note_close(reason)
         self._deaf = True
         if self._transport is not None:
             end(self._transport)
@@ -708,10 +723,12 @@
     def close_if_idle(self) -> None:
         """Close it if it is between requests; one that has begun to come is still taken."""
         if self.idle and self.dispensable:
-            self._part()
+            self._part(CloseReason.IDLE)
 
-    def _part(self) -> None:
+    def _part(self, reason: CloseReason) -> None:
         """Close it; what it is owed still goes out."""
+        if not self._deaf:
+            self._note_close(reason)
         self._deaf = True
         if self._transport is not None:
             if self.owed:
@@ -725,6 +742,7 @@
         The transport closes after this, though only once what the client is owed has gone out; room for more
         of that would begin its next request.
         """
+        self._note_close(CloseReason.CLIENT_LEFT)
         self._stop_reading()
         self._end_request()
 
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -28,10 +28,13 @@
     ServerList,
     SetTimer,
     Settings,
+    State,
     StreamStarted,
     TimerFired,
     Update,
 )
+from whinrouter.invariants.events import EventKind
+from whinrouter.invariants.lifecycle import Guards, RequestLife
 from whinrouter.learnt import Learnt
 from whinrouter.net.attempt import Attempt, Sender
 from whinrouter.net.hosts import HostList
@@ -74,8 +77,8 @@
 
     __slots__ = (
         "begins_by",
-        "deadline",
         "gone",
+        "life",
         "message",
         "never_ran",
         "patience",
@@ -93,14 +96,14 @@
         request: RequestId,
         message: Message,
         reply: Callable[[Answer], None],
-        deadline: int,
+        life: RequestLife,
         gone: Callable[[], bool] | None,
     ) -> None:
         self.gone = gone  # whether its client has left, as far as the system knows
         self.request = request
         self.message = message
         self.reply: Callable[[Answer], None] | None = reply  # None once it has its answer, or the client left
-        self.deadline = deadline
+        self.life = life
         self.timer: Timer | None = None
         self.spared = False  # its time was up while an answer lay unread
         self.sent: list[Attempt | None] = []  # by number; None once it has ended
@@ -137,6 +140,7 @@
         self._balancer = balancer
         self._upstream = upstream
         self.clock = Clock()
+        self.guards = Guards(balancer.settings)
         self._loop = asyncio.get_running_loop()
         self._timers = Wheel(self._loop)
         self._held: dict[RequestId, _Held] = {}
@@ -154,6 +158,12 @@
         """The module goes on by other settings."""
         self._attempt_time = attempt_time
         self._balancer.retune(settings)
+        self.guards.retune(settings)
+        self.note(EventKind.RELOADED, "settings")
+
+    def note(self, kind: EventKind, detail: str) -> None:
+        """Keep an event of the process beside those of its requests."""
+        self.guards.happened(kind, detail, self.clock.now())
 
     def learnt(self, now: int) -> Learnt:
         """What the module of a process in this one's place goes on from, in spans from now."""
@@ -169,6 +179,10 @@
 
     def list_hosts(self, told: HostList, stale: bool = False) -> None:
         whole = told.complete or stale
+        for member in told.members:
+            if member.server.state is not State.READY:
+                detail = f"{member.server.id} {member.server.state.value}"
+                self.note(EventKind.HOST_STOPPED, detail)
         self._upstream.update(told.members, whole)
         update = Update.STALE if stale else Update.FULL if whole else Update.CHANGES
         self.has_list = self.has_list or bool(told.members)
@@ -187,20 +201,21 @@
         before anything that has waited is written to a host.
         """
         self._last = request = self._last + 1
-        message, class_name, timeout, cost, key, retry, tenant, _ = asked
-        lay = round(waited * SECOND)
-        if lay and timeout <= lay + MARGIN:  # its time is up, and no host has heard of it
-            reply(Answer(503))
-            return request
+        message, class_name, timeout, cost, key, retry, tenant, name = asked
+        lay, now = round(waited * SECOND), self.clock.now()
+        time_is_up = bool(lay) and timeout <= lay + MARGIN
         timeout = max(1, timeout - lay - MARGIN)
-        now = self.clock.now()
-        held = _Held(request, message, reply, now + timeout, gone)
+        life = self.guards.start(request, class_name, now + timeout, now, name)
+        held = _Held(request, message, reply, life, gone)
+        if time_is_up:  # no host has heard of it
+            self._give(held, Answer(503), now, "its time was up unread")
+            return request
         self._held[request] = held
         streams = message.rest is not None and not message.rest.came
         message.patience = timeout / SECOND
         if streams:  # its time begins with the end of its body
-            held.deadline, held.patience = now + LONGEST_BODY, timeout
-        held.timer = self._timers.call_later((held.deadline - now) / SECOND, self._expire, held)
+            held.life.deadline, held.patience = now + LONGEST_BODY, timeout
+        held.timer = self._timers.call_later((held.life.deadline - now) / SECOND, self._expire, held)
         self._feed(Request(request, class_name, timeout, cost, key, retry, tenant, streams), request, now)
         return request
 
@@ -209,7 +224,7 @@
         held = self._held.get(request)
         if held is None or not held.comes:
             return
-        held.whole, held.deadline = self._loop.time(), self.clock.now() + held.patience
+        held.whole, held.life.deadline = self._loop.time(), self.clock.now() + held.patience
         self._feed(BodyReceived(request), request)
         if held.timer is not None:
             held.timer.cancel()
@@ -225,6 +240,7 @@
         held = self._held.get(request)
         if held is not None and held.reply is not None:
             held.reply = None
+            self.guards.leave(held.life, self.clock.now())
             self._feed(RequestGone(request), request)
             self._forget(held)
 
@@ -272,9 +288,9 @@
         elif isinstance(action, Refuse):
             after = action.retry_after
             advice = [(b"retry-after", b"%.3f" % (after / SECOND))] if after else []
-            self._answer(action.request, Answer(503, advice))
+            self._answer(action.request, Answer(503, advice), now, "the module refuses")
         elif isinstance(action, Fail):
-            self._answer(action.request, Answer(502))
+            self._answer(action.request, Answer(502), now, "the module gives up")
         # Subscribe: the watch always runs. This module sends no probes.
 
     def _set_timer(self, action: SetTimer) -> None:
@@ -302,7 +318,7 @@
         number = len(held.sent)
         held.sent.append(None)
         held.begins_by = begins_by
-        until = min(expires, held.deadline) if expires else held.deadline
+        until = min(expires, held.life.deadline) if expires else held.life.deadline
         if self._attempt_time and not held.comes:
             until = min(until, now + self._attempt_time)
         attempt = None
@@ -312,27 +328,35 @@
         if held.reply is not None and until > now:  # no attempt leaves after the final answer
             due = self._loop.time() + (until - now) / SECOND
             attempt = self._upstream.send(
-                server, held.message, due, self._ended, held, number, self._began, self._bar
+                server, held.message, due, self._ended, held, number, self._began, self._may_begin
             )
         if attempt is None:
             self._tell(held, number, server, Outcome.NOT_SENT, now)
         elif not attempt.over:
             held.sent[number] = attempt
-            if until < held.deadline:
+            if not attempt.begun:
+                self.guards.wait(held.life, number, now)
+            if until < held.life.deadline:
                 self._timers.call_later((until - now) / SECOND, _time_out, attempt)
 
-    def _bar(self, attempt: Attempt) -> Outcome | None:
-        """Why an attempt that had to wait is not to begin any more; None if it may.
+    def _may_begin(self, attempt: Attempt, ready: bool, waited: bool) -> Outcome | None:
+        """Why an attempt is not to begin; None if it may.
 
-        What ends it may be told after its connection, in the same turn of the loop. Its client's end may not
-        be told at all, while nothing is read from it.
+        What ends one that had to wait may be told after its connection, in the same turn of the loop. Its
+        client's end may not be told at all, while nothing is read from it.
         """
         held: _Held = attempt.owner
-        if self._left(held):
-            return Outcome.CANCELLED
-        others = len(held.sent) - held.never_ran > 1
-        forgotten = others and 0 < held.begins_by <= self.clock.now()
-        return Outcome.NOT_SENT if forgotten or self._loop.time() >= attempt.expires else None
+        now, loop_now = self.clock.now(), self._loop.time()
+        if waited:
+            if self._left(held):
+                return Outcome.CANCELLED
+            others = len(held.sent) - held.never_ran > 1
+            if (others and 0 < held.begins_by <= now) or loop_now >= attempt.expires:
+                return Outcome.NOT_SENT
+        told = round((attempt.expires - loop_now) * SECOND) if attempt.message.rest is None else 0
+        server = attempt.host.member.server
+        attempt.begun = self.guards.may_send(held.life, attempt.number, server, ready, told, now)
+        return None if attempt.begun else Outcome.NOT_SENT
 
     def _left(self, held: _Held) -> bool:
         """Whether nobody waits for a request any more. One whose client has left is over with this look."""
@@ -343,15 +367,16 @@
     def _began(self, attempt: Attempt, answer: Message) -> None:
         """An answer has begun whose body is passed on: the client has it, and the host is to end it."""
         held: _Held = attempt.owner
-        reply, held.reply = held.reply, None
-        if reply is None or answer.rest is None:
+        if held.reply is None or answer.rest is None:
             attempt.stop(Outcome.CANCELLED)
             return
         if held.timer is not None:
             held.timer.cancel()
         now = self.clock.now()
         taken = self._loop.time() - max(attempt.started, held.whole) - attempt.waited
-        reply(Answer(200, answer.headers, answer.body, answer.rest))
+        self._give(
+            held, Answer(200, answer.headers, answer.body, answer.rest), now, "its body is passed on", True
+        )
         server = attempt.host.member.server.id
         event = StreamStarted(held.request, attempt.number, server, max(0, round(taken * SECOND)))
         self._feed(event, held.request, now)
@@ -362,9 +387,9 @@
         # Before the reply: a process is often put aside when it has written, and that time is not the host's.
         now, latency = self.clock.now(), round((self._loop.time() - attempt.started) * SECOND)
         if answer is not None and outcome is Outcome.OK and held.reply is not None:
-            reply, held.reply = held.reply, None
-            reply(Answer(200, answer.headers, answer.body))
+            self._give(held, Answer(200, answer.headers, answer.body), now, "served", True)
         lay = round((attempt.waited + self._spent_on_body(held, attempt)) * SECOND)
+        self.guards.attempt_ended(held.life, attempt.number, attempt.begun, outcome, now)
         self._tell(held, attempt.number, attempt.host.member.server.id, outcome, now, latency, lay)
 
     def _spent_on_body(self, held: _Held, attempt: Attempt) -> float:
@@ -390,11 +415,17 @@
         event = AttemptEnded(held.request, number, server, outcome, latency, answered, None, lay, spent)
         self._feed(event, held.request, now)
 
-    def _answer(self, request: RequestId, answer: Answer) -> None:
+    def _answer(self, request: RequestId, answer: Answer, now: int, why: str) -> None:
         held = self._held.get(request)
         if held is not None and held.reply is not None:
-            reply, held.reply = held.reply, None
-            reply(answer)
+            self._give(held, answer, now, why)
+
+    def _give(self, held: _Held, answer: Answer, now: int, why: str, served: bool = False) -> None:
+        """Give the client its final answer, if it may have this one: there is no other way to one."""
+        reply, held.reply = held.reply, None
+        status = self.guards.may_answer(held.life, answer.status, served, why, now)
+        if reply is not None and status:
+            reply(answer if status == answer.status else Answer(status))
 
     def _forget(self, held: _Held) -> None:
         """Nothing more may leave for a request that is over; once all attempts have ended, drop it."""
@@ -411,7 +442,7 @@
 
     def _expire(self, held: _Held) -> None:
         """The client's time is up: what is out has timed out, and the module answers."""
-        early = held.deadline - self.clock.now()
+        early = held.life.deadline - self.clock.now()
         if early > 0:  # the loop's clock is coarser; the module must see that the time is up
             held.timer = self._timers.call_later(early / SECOND, self._expire, held)
             return
@@ -430,7 +461,7 @@
         if held is None or held.reply is None:
             return
         log.error("request %d had no answer from the module", request)
-        self._answer(request, Answer(status))
+        self._answer(request, Answer(status), self.clock.now(), "the module had no answer")
         self._feed(RequestGone(request), request)
         for attempt in list(held.sent):
             if attempt is not None:
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from whinrouter.interface import Outcome, ServerId, State
-from whinrouter.net.attempt import Attempt, Bar, Began, Ended
+from whinrouter.net.attempt import Attempt, Began, Ended, MayBegin
 from whinrouter.net.connect import ConnectResult, connect
 from whinrouter.net.hosts import Member
 from whinrouter.net.http import LAST_CHUNK, Message, Reading, ResponseReader, chunk
@@ -346,17 +346,17 @@
         owner: Any = None,
         number: int = 0,
         began: Began | None = None,
-        bar: Bar | None = None,
+        may_begin: MayBegin | None = None,
     ) -> Attempt | None:
         """Start an attempt; None if the host may not be sent to. It may end before this returns."""
         host = self._hosts.get(server)
         if host is None:
             return None
         now = self.now()
-        attempt = Attempt(host, message, expires, ended, owner, number, now, began, bar)
+        attempt = Attempt(host, message, expires, ended, owner, number, now, began, may_begin)
         while (connection := host.rested(now)) is not None:
             if connection.quiet():
-                connection.carry(attempt, now)
+                self._begin(host, attempt, connection, waited=False)
                 return attempt
             connection.drop()
         if self.open >= self.limit and not self._make_room():
@@ -379,9 +379,14 @@
 
     def _up(self, host: _Host, attempt: Attempt, connection: _Connection) -> None:
         host.connecting.discard(attempt)
-        barred = attempt.bar(attempt) if attempt.bar is not None and not attempt.over else None
-        if barred is not None:
-            attempt.stop(barred)
+        self._begin(host, attempt, connection, waited=True)
+
+    def _begin(self, host: _Host, attempt: Attempt, connection: _Connection, waited: bool) -> None:
+        """Send an attempt over a connection, if it may begin: there is no other way to one."""
+        if attempt.may_begin is not None and not attempt.over:
+            barred = attempt.may_begin(attempt, host.ready, waited)
+            if barred is not None:
+                attempt.stop(barred)
         if attempt.over:
             connection.drop()
         elif connection.usable:  # one reset as soon as it was up would never report that it is lost
--- a/whinrouter/operations/desk.py
+++ b/whinrouter/operations/desk.py
@@ -31,12 +31,14 @@
     starts: StartTimes = field(default_factory=StartTimes)
     share: Callable[[str, str], None] = lambda name, word: None  # what was called, to the other process
     heard: Callable[[HostList], None] = lambda told: None  # what was listed, likewise
+    violations: Callable[[], str] = lambda: "none"  # the invariants that were violated, with their counts
     revision: int = 0
     members: dict[ServerId, Member] = field(default_factory=dict)  # those that are listed, as they are told
 
     def register(self, calls: Calls, ready: Callable[[], bool]) -> None:
         """Add what operators may call."""
         calls.add("HEALTH", (), lambda: self._health(ready()))
+        calls.add("VIOLATIONS", (), lambda: self.violations())
         for name, words in (("OFFLINE", ("ID",)), ("ONLINE", ("ID",)), ("LEAVE", ()), ("JOIN", ())):
             calls.add(name, words, lambda word="", name=name: self.called(name, word, shared=True))
 
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -20,6 +20,7 @@
 from whinrouter.control.calls import Calls
 from whinrouter.control.shell import ControlServer
 from whinrouter.interface import SECOND, Settings
+from whinrouter.invariants.events import EventKind
 from whinrouter.net.application import Application
 from whinrouter.net.config import ConfigError
 from whinrouter.net.door import Door
@@ -35,6 +36,9 @@
     from whinrouter.handover.succession import Succession
 
 log = logging.getLogger("whinrouter")
+event_log = logging.getLogger("whinrouter.events")
+# Logs that are written without a gap.
+UNFILTERED = ("whinrouter.audit", "whinrouter.events", "whinrouter.invariants.violations")
 
 # Descriptors for all that is no client's and no host's connection, or is not counted yet: the standard
 # streams, the loop, the listeners and the watch on discovery (10), callers (8, `control/shell.py`), clients
@@ -138,6 +142,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     desk = Desk(gateway.clock.now, loop.time, gateway.list_hosts, frontend.presence)
+    desk.violations = gateway.guards.violations.summary
     hosts = plan.hosts(desk.listed)
     succession = _succession(plan, gateway, frontend, upstream, desk, hosts)
     told = await succession.take() if succession is not None else None
@@ -163,8 +168,10 @@
     gc.set_threshold(GC_EVERY, 20, 50)
     if application is not None:
         application.start()
+    loop.add_signal_handler(signal.SIGUSR1, _write_events, gateway)
     await stop.wait()
     log.info("stopping: %d requests held", gateway.holds)
+    gateway.note(EventKind.STOPPING, f"{gateway.holds} held")
     frontend.presence.stop(loop.time())
     if application is not None:
         application.stop()
@@ -176,6 +183,16 @@
         control.close()
     if succession is not None:
         succession.close()
+    gateway.guards.exit(gateway.holds, gateway.clock.now())
+    log.info("ended; invariants violated: %s", gateway.guards.violations.summary())
+
+
+def _write_events(gateway: Gateway) -> None:
+    """Write the latest events to the log, as an operator asks by SIGUSR1."""
+    events = gateway.guards.ring.events()
+    for event in events:
+        event_log.info("event %s", event)
+    event_log.info("%d events; invariants violated: %s", len(events), gateway.guards.violations.summary())
 
 
 def _succession(
@@ -288,7 +305,7 @@
         self._left_out: dict[str, int] = {}
 
     def filter(self, record: logging.LogRecord) -> bool:
-        if record.name == "whinrouter.audit":  # who did what, without a gap
+        if record.name in UNFILTERED:
             return True
         kind, now = str(record.msg), time.monotonic()  # the wall clock may be stepped back by an hour
         if now < self._said.get(kind, -SELDOM) + SELDOM:
