--- a/standins/faults.c
+++ b/standins/faults.c
@@ -6,7 +6,8 @@
  *                 socket   EMFILE, ENFILE, ENOBUFS, ENOMEM, of TCP sockets
  *                 read     a short count
  *                 write    a short count
- *                 broken   ETIMEDOUT or EHOSTUNREACH from a read, and the connection is shut
+ *                 broken   ETIMEDOUT or EHOSTUNREACH from a read of a connection that the process made itself,
+ *                          which is shut
  *                 wait     EINTR from epoll_wait
  *   FAULTS_SEED   a number; with the process's id it seeds the draws
  *   FAULTS_STEPS  "3600,-5,0": seconds by which the wall clock is off, one after the other
@@ -37,6 +38,9 @@
 static int step_count;
 static double step_every = 2.0;
 
+#define MOST_DESCRIPTORS 65536
+static unsigned char made_here[MOST_DESCRIPTORS]; /* by descriptor: connect() was called on it */
+
 #define NEXT(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
 
 __attribute__((constructor)) static void configure(void) {
@@ -74,14 +78,6 @@
 }
 #define FAIL(...) fail_with((const int[]){__VA_ARGS__}, sizeof((const int[]){__VA_ARGS__}) / sizeof(int))
 
-static int is_tcp(int fd) {
-    int domain = 0, type = 0;
-    socklen_t size = sizeof domain;
-    if (getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &size) || domain != AF_INET) return 0;
-    size = sizeof type;
-    return !getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &size) && type == SOCK_STREAM;
-}
-
 static double off_by(void) {
     struct timespec now;
     if (!step_count) return 0;
@@ -110,13 +106,16 @@
 
 int accept4(int fd, struct sockaddr *address, socklen_t *size, int flags) {
     if (fails(ACCEPT)) return FAIL(ECONNABORTED, EPROTO, EMFILE, ENFILE, ENOBUFS, ENOMEM);
-    return NEXT(accept4)(fd, address, size, flags);
+    int taken = NEXT(accept4)(fd, address, size, flags);
+    if (taken >= 0 && taken < MOST_DESCRIPTORS) made_here[taken] = 0;
+    return taken;
 }
 
 int accept(int fd, struct sockaddr *address, socklen_t *size) { return accept4(fd, address, size, 0); }
 
 int connect(int fd, const struct sockaddr *address, socklen_t size) {
     if (address->sa_family == AF_INET && fails(CONNECT)) return FAIL(EADDRNOTAVAIL, ENOBUFS, ENETUNREACH);
+    if (fd >= 0 && fd < MOST_DESCRIPTORS) made_here[fd] = address->sa_family == AF_INET;
     return NEXT(connect)(fd, address, size);
 }
 
@@ -126,7 +125,7 @@
 }
 
 ssize_t recv(int fd, void *into, size_t size, int flags) {
-    if (one_in[BROKEN] && fails(BROKEN) && is_tcp(fd)) {
+    if (fd >= 0 && fd < MOST_DESCRIPTORS && made_here[fd] && fails(BROKEN)) {
         shutdown(fd, SHUT_RDWR);
         return FAIL(ETIMEDOUT, EHOSTUNREACH);
     }
