Try again to listen, and to ask the process before, where a socket fails for a moment

Change: connect.with_retries tries again after each of a few pauses where descriptors or memory are wanting, 0.8 s in all for listeners; an address that is taken, or a want that lasts, still ends the start. It carries the retries of connections too.

--- a/whinrouter/handover/channel.py
+++ b/whinrouter/handover/channel.py
@@ -19,6 +19,7 @@
 from whinrouter.handover.line import Line, Step
 from whinrouter.handover.words import Message, TornError, frame
 from whinrouter.net.accept import Acceptor
+from whinrouter.net.connect import LISTEN_PAUSES, with_retries
 
 log = logging.getLogger(__name__)
 
@@ -86,23 +87,28 @@
 
 async def call(path: Path, owner: Owner) -> Peer | None:
     """A line to the process that serves at this path; None if there is none."""
-    endpoint = socket.socket(socket.AF_UNIX)
+
+    async def try_once() -> Peer:
+        with contextlib.ExitStack() as undo:
+            endpoint = socket.socket(socket.AF_UNIX)
+            undo.callback(endpoint.close)
+            endpoint.setblocking(False)
+            with _short(path) as short:
+                endpoint.connect(short)
+            if not _same_user(endpoint):
+                raise PermissionError("another user's")
+            loop = asyncio.get_running_loop()
+            _, peer = await loop.create_unix_connection(lambda: Peer(owner, True), sock=endpoint)
+            undo.pop_all()  # it is the transport's now
+            return peer
+
     try:
-        endpoint.setblocking(False)
-        with _short(path) as short:
-            endpoint.connect(short)
-        if not _same_user(endpoint):
-            raise PermissionError("another user's")
-        loop = asyncio.get_running_loop()
-        _, peer = await loop.create_unix_connection(lambda: Peer(owner, True), sock=endpoint)
+        return await with_retries(try_once, LISTEN_PAUSES)
     except FileNotFoundError:  # the first of its kind
-        endpoint.close()
         return None
     except OSError as error:
         log.warning("handover: nobody can be asked (%s); starting from nothing", error)
-        endpoint.close()
         return None
-    return peer
 
 
 class Post:
@@ -116,8 +122,14 @@
     async def open(self) -> None:
         """Be the one at the path."""
         self.close()
-        listener = socket.socket(socket.AF_UNIX)
+        try:
+            await with_retries(self._open_once, LISTEN_PAUSES)
+        except OSError as error:
+            log.warning("handover: nobody can ask here (%s)", error)
+
+    async def _open_once(self) -> None:
         fresh = self._path.with_name(f"{self._path.name}.{os.getpid()}")
+        listener = socket.socket(socket.AF_UNIX)
         try:
             with contextlib.suppress(FileNotFoundError):
                 fresh.unlink()
@@ -127,10 +139,10 @@
             listener.listen(MOST_LINES)
             self._listener, self._acceptor = listener, Acceptor(listener, self._make, at_once=1)
             fresh.rename(self._path)
-        except OSError as error:
-            log.warning("handover: nobody can ask here (%s)", error)
+        except OSError:
             listener.close()
             self.close()
+            raise
 
     def _make(self) -> Peer:
         peer = Peer(self._owner, False)
--- a/whinrouter/net/connect.py
+++ b/whinrouter/net/connect.py
@@ -7,7 +7,7 @@
 import logging
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Collection, Sequence
 from enum import Enum
 from typing import TypeVar
 
@@ -21,25 +21,23 @@
 ACCEPT_TURNS = 3  # of the loop in which nothing waits to be accepted before the queue counts as empty
 ACCEPT_REST = 0.5  # seconds for taking what waits to be accepted when the listener closes
 
-# Errors of socket() and connect() that arise on this machine, before anything has left it. ENETUNREACH is the
-# routing table's word; a peer that can't be reached is EHOSTUNREACH or ETIMEDOUT.
-LOCAL_ERRORS = frozenset(
-    {
-        errno.EADDRINUSE,
-        errno.EADDRNOTAVAIL,
-        errno.EAGAIN,
-        errno.EMFILE,
-        errno.ENETDOWN,
-        errno.ENETUNREACH,
-        errno.ENFILE,
-        errno.ENOBUFS,
-        errno.ENOMEM,
-        errno.EPERM,
-    }
-)
-LOCAL_RETRY_PAUSES = (0.001, 0.002, 0.004)  # seconds before each further try
+# Errors that tell of a want of descriptors or memory on this machine, which may be over soon.
+RESOURCE_ERRORS = frozenset({errno.EAGAIN, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+# Errors of connect() that arise on this machine, before anything has left it. ENETUNREACH is the routing
+# table's word; a peer that can't be reached is EHOSTUNREACH or ETIMEDOUT.
+LOCAL_ERRORS = RESOURCE_ERRORS | {
+    errno.EADDRINUSE,
+    errno.EADDRNOTAVAIL,
+    errno.ENETDOWN,
+    errno.ENETUNREACH,
+    errno.EPERM,
+}
+# Seconds before each further try: to connect, within a request's time, and to listen, within that of a start.
+CONNECT_PAUSES = (0.001, 0.002, 0.004)
+LISTEN_PAUSES = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4)
 
 P = TypeVar("P", bound=asyncio.BaseProtocol)
+R = TypeVar("R")
 
 
 class ConnectResult(Enum):
@@ -50,21 +48,35 @@
     LOCAL_FAILURE = "local failure"  # this machine lacked something: it tells nothing of the peer
 
 
-async def open_connection(protocol: Callable[[], P], address: tuple[str, int]) -> P:
-    """Connect; a failure of this machine alone is tried again a few times, milliseconds apart.
+async def with_retries(
+    work: Callable[[], Awaitable[R]], pauses: Sequence[float], errors: Collection[int] = RESOURCE_ERRORS
+) -> R:
+    """What `work` returns; if it fails with one of these errors it is called again after each pause.
 
-    OSError as the last try had it. There is no limit of time: the caller sets one.
+    OSError as the last call had it, or at once any other.
     """
-    loop = asyncio.get_running_loop()
-    for pause in LOCAL_RETRY_PAUSES:
+    for pause in pauses:
         try:
-            return (await loop.create_connection(protocol, *address))[1]
+            return await work()
         except OSError as error:
-            if error.errno not in LOCAL_ERRORS:
+            if error.errno not in errors:
                 raise
-            log.info("connect: %s; trying again", error.strerror)
+            log.info("%s; trying again", error.strerror)
         await asyncio.sleep(pause)
-    return (await loop.create_connection(protocol, *address))[1]
+    return await work()
+
+
+async def open_connection(protocol: Callable[[], P], address: tuple[str, int]) -> P:
+    """Connect; a failure of this machine alone is tried again a few times, milliseconds apart.
+
+    OSError as the last try had it. There is no limit of time: the caller sets one.
+    """
+    loop = asyncio.get_running_loop()
+
+    async def try_once() -> P:
+        return (await loop.create_connection(protocol, *address))[1]
+
+    return await with_retries(try_once, CONNECT_PAUSES, LOCAL_ERRORS)
 
 
 async def connect(
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -23,6 +23,7 @@
 from whinrouter.invariants.events import EventKind
 from whinrouter.net.application import Application
 from whinrouter.net.config import ConfigError
+from whinrouter.net.connect import LISTEN_PAUSES, with_retries
 from whinrouter.net.door import Door
 from whinrouter.net.frontend import RECEIVE_TIME, Frontend
 from whinrouter.net.gateway import Gateway
@@ -252,7 +253,7 @@
     control = ControlServer(calls)
     host, port = plan.control
     try:
-        port = await control.listen(host, port)
+        port = await with_retries(partial(control.listen, host, port), LISTEN_PAUSES)
     except OSError as error:
         raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror}") from None
     log.info("%s takes calls on %s:%d", plan.name, host, port)
@@ -262,7 +263,7 @@
 async def _listen(plan: Plan, frontend: Frontend) -> int:
     host, port = plan.listen
     try:
-        return await frontend.listen(host, port, plan.listener)
+        return await with_retries(partial(frontend.listen, host, port, plan.listener), LISTEN_PAUSES)
     except OSError as error:
         raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror}") from None
 
