Soak: silent watches stay silent, calls cross upgrades, uploads are judged

Cause: what the soak found first was its own. Second answers went through the delays of links and came later than anybody can tell apart.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -45,9 +45,13 @@
 
 async def _play(plan: Plan, folder: Path, tree: Path) -> Result:
     world = World(plan, folder, tree)
-    await world.set_up()
-    await world.play()
-    return world.result()
+    try:
+        await world.set_up()
+        await world.play()
+        return world.result()
+    finally:
+        for gateway in world.gateways:
+            gateway.kill_all()
 
 
 def report(result: Result) -> str:
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -147,7 +147,12 @@
     ) -> bool:
         """Send and wait; True if a kept connection ended with no byte of an answer."""
         answer = connection.expect()
+        began = self._now()
         if not await self._write(connection, answer, name, rules, body):
+            is_killed = any(began - KILL_TIME < at for at in self._killed[gateway])
+            if not reused and not is_killed:
+                detail = f"at {self._now():.3f} s gateway {gateway} cut its body off with no answer"
+                self._ledger.faults.append(Violation("lost", name, detail))
             connection.close()
             return False
         request = AskedRequest(name, rules, gateway, self._now())
--- a/benchmarks/soak/discovery.py
+++ b/benchmarks/soak/discovery.py
@@ -13,6 +13,7 @@
 from benchmarks.soak.ledger import DRAIN_GRACE, HELD_UP, LIMIT_SLACK, Ledger
 
 BEAT = 2.0
+SILENCE_TOLD = 6.0  # seconds after a watch fell silent in which what it misses counts as told
 STOP_SLACK = DRAIN_GRACE + LIMIT_SLACK + HELD_UP
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -67,7 +68,7 @@
         self._older: set[asyncio.StreamWriter] = set()  # that came to an address before this one
         self._server: asyncio.Server | None = None
         self.port = 0
-        self.is_silent = False
+        self._dead: dict[asyncio.StreamWriter, float] = {}  # watches that fell silent, and when
         registry.agents.append(self)
 
     async def listen(self) -> None:
@@ -95,19 +96,19 @@
         try:
             await reader.readuntil(b"\r\n\r\n")
             writer.write(HEAD)
-            if not self.is_silent:
-                names = [name for name, (_, phase) in self._registry.hosts.items() if phase != "Gone"]
-                writer.write(_chunk(self._list(names, whole=True)))
-                self._note(list(self._registry.hosts))
+            names = [name for name, (_, phase) in self._registry.hosts.items() if phase != "Gone"]
+            writer.write(_chunk(self._list(names, whole=True)))
+            self._note(list(self._registry.hosts), self._registry.now())
             self._watches.add(writer)
             while not writer.is_closing():
                 await asyncio.sleep(BEAT)
-                if not self.is_silent and not writer.is_closing():
+                if writer not in self._dead and not writer.is_closing():
                     writer.write(_chunk(b"\n"))
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
             self._watches.discard(writer)
+            self._dead.pop(writer, None)
             writer.close()
 
     def _list(self, names: list[str], whole: bool) -> bytes:
@@ -118,15 +119,22 @@
 
     def tell(self, names: list[str]) -> None:
         """Write a change to every watch."""
-        if self.is_silent:
-            return
-        for writer in self._watches:
+        alive = [writer for writer in self._watches if writer not in self._dead]
+        for writer in alive:
             writer.write(_chunk(self._list(names, whole=False)))
-        if self._watches:
-            self._note(names)
+        if alive:
+            self._note(names, self._registry.now())
+        elif self._dead:
+            self._note(names, max(self._registry.now(), min(self._dead.values()) + SILENCE_TOLD))
+
+    def fall_silent(self) -> None:
+        """The watches that there are say nothing any more; a new one is answered."""
+        for writer in self._watches:
+            self._dead.setdefault(writer, self._registry.now())
 
-    def _note(self, names: list[str]) -> None:
-        registry, since = self._registry, self._registry.now() + STOP_SLACK
+    def _note(self, names: list[str], told: float) -> None:
+        """From some time after they counted as told on, nothing may go to those that stop."""
+        registry, since = self._registry, told + STOP_SLACK
         for name in names:
             host, phase = registry.hosts[name]
             if phase != "Ready":
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import signal
 import socket
@@ -25,9 +26,17 @@
 _EFFECTS = {"read": "idempotent", "buy": "at_most_once", "order": "deduplicated"}
 
 
+# Ports under those that the system gives to outgoing connections, in slices for soaks that run side by side.
+FIRST_PORT, SLICE, SLICES = 10_000, 550, 40
+_ports = itertools.count(FIRST_PORT + os.getpid() % SLICES * SLICE)
+
+
 def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        return int(probe.getsockname()[1])
+    """A port that nobody listens at, and that no outgoing connection is given meanwhile."""
+    for port in _ports:
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
+    raise AssertionError("itertools.count ends")
 
 
 def settings(rank: int, gateways: int, attempts: int) -> dict[str, Any]:
@@ -82,6 +91,8 @@
     is_stopping: bool = False
     busy: bool = False  # a trouble has it
     attempts: int = 4
+    starts: int = 0  # processes that were started
+    processes: list[asyncio.subprocess.Process] = field(default_factory=list)  # all of them
     faults: list[Violation] = field(default_factory=list)
 
     @property
@@ -108,6 +119,7 @@
         """Start a process; it is the one that serves from now on."""
         self.port = self.port or (self.shared.getsockname()[1] if self.shared else free_port())
         self.control = free_port()
+        self.starts += 1
         own = self.folder / f"tmp-{self.rank}"
         own.mkdir(exist_ok=True)
         environment = {
@@ -127,6 +139,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-P", "-m", "whinrouter", env=environment, stderr=log, pass_fds=fds
             )
+        self.processes.append(self.process)
 
     async def call(self, line: str, control: int = 0) -> str:
         """An operator's call; an empty answer if there was none."""
@@ -155,6 +168,13 @@
             self.on_kill(self.rank)
             self.process.kill()
 
+    def kill_all(self) -> None:
+        """Leave nothing behind, however the soak ended."""
+        for process in self.processes:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
+
     async def end(self, process: asyncio.subprocess.Process) -> None:
         """SIGTERM, then SIGKILL in its time; a process that it finds is none of ours to excuse."""
         if process.returncode is not None:
--- a/benchmarks/soak/hosts.py
+++ b/benchmarks/soak/hosts.py
@@ -30,6 +30,7 @@
     now: Callable[[], float]
     is_on: Callable[[str], bool]  # whether a kind of trouble is on
     mode: str = "serve"  # or hang, fail, refuse
+    refuses_connections: bool = False  # new ones are reset as soon as they are up
     started: float = 0.0  # 0: long ago, and warm
     ports: dict[int, int] = field(default_factory=dict)  # by gateway
     servers: list[asyncio.Server] = field(default_factory=list)
@@ -43,17 +44,6 @@
             self.servers.append(server)
             self.ports[gateway] = server.sockets[0].getsockname()[1]
 
-    async def refuse_connections(self, seconds: float) -> None:
-        """Take no new connection for a while; those that there are go on."""
-        loop = asyncio.get_running_loop()
-        for server in self.servers:
-            server.close()
-        await asyncio.sleep(seconds)
-        self.servers = [
-            await loop.create_server(partial(HostConnection, self, gateway), "127.0.0.1", port)
-            for gateway, port in self.ports.items()
-        ]
-
     def reset_all(self) -> None:
         for connection in list(self.connections):
             connection.abort()
@@ -94,6 +84,8 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._host.connections.add(self)
+        if self._host.refuses_connections:
+            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._host.connections.discard(self)
@@ -161,8 +153,7 @@
         if draw < 0.05:
             self._later(taken, self._host.random.choice(GARBAGE))
         elif draw < 0.10:
-            self._later(taken, good)
-            self._later(taken + self._host.random.uniform(0.0, 0.004), good)
+            self._later(taken, good, then=partial(self._again, good))
         elif draw < 0.15:
             self._later(taken, b"HTTP/1.1 103 Early Hints\r\n\r\n" + good)
         elif draw < 0.20:
@@ -170,6 +161,11 @@
         else:
             self._later(taken, b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body, then=self._end)
 
+    def _again(self, text: bytes) -> None:
+        """A second answer, no more than some milliseconds late: a later one is nobody's to tell apart."""
+        delay = self._host.random.uniform(0.0, 0.004)
+        asyncio.get_running_loop().call_later(delay, self._write, text, None)
+
     def _end(self) -> None:
         if self._transport is not None:
             self._transport.close()
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -24,7 +24,7 @@
     "crash",  # hosts reset all and come back cold under their ids
     "spoil",  # answers that can't be read, second answers, answers that end with their connection
     "link",  # answers are delayed, split, stalled and reset on their way
-    "no-connect",  # connections to hosts are refused for a moment, while old ones go on
+    "no-connect",  # new connections to hosts are reset for a while, old ones go on
     "silence",  # watches fall silent
     "watches",  # watches are reset, and discovery is down for a while
     "leave",  # clients leave early
@@ -35,6 +35,7 @@
 )
 # The library of faults is loaded into all gateways of a soak, with one of these sets.
 FAULTS: tuple[dict[str, int], ...] = (
+    {},
     {},
     {"accept": 50},
     {"connect": 50, "socket": 50},
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -229,6 +229,7 @@
             return
         gateway.busy = True
         await gateway.stop()
+        self._forget_calls(gateway.rank)
         await gateway.start()
         await self._ready(gateway)
         gateway.busy = False
@@ -239,6 +240,7 @@
             return
         gateway.busy = True
         gateway.kill()
+        self._forget_calls(gateway.rank)
         await asyncio.sleep(self._random.uniform(0.0, 0.5))
         await gateway.start()
         await self._ready(gateway)
@@ -305,15 +307,12 @@
         host = self._some_host()
         if host is None:
             return
-        host.mode = "serve-only"
-        await host.refuse_connections(self._random.uniform(0.2, 1.5))
-        host.mode = "serve"
+        host.refuses_connections = True
+        await asyncio.sleep(self._random.uniform(0.2, 1.5))
+        host.refuses_connections = False
 
     async def _silence(self) -> None:
-        agent = self._random.choice(self.gateways).agent
-        agent.is_silent = True
-        await asyncio.sleep(self._random.uniform(1.0, 6.0))
-        agent.is_silent = False
+        self._random.choice(self.gateways).agent.fall_silent()
 
     async def _reset_watches(self) -> None:
         for gateway in self._random.sample(self.gateways, len(self.gateways) // 2):
@@ -323,27 +322,35 @@
         gateway = self._free_gateway()
         if gateway is None:
             return
+        if self._random.random() < 0.7:
+            await self._take_out(gateway)  # over upgrades and reloads that begin meanwhile
+            return
         gateway.busy = True
-        if self._random.random() < 0.3:
-            if (await gateway.call("LEAVE")).startswith("+OK"):
-                await asyncio.sleep(self._random.uniform(0.5, 3.0))
-                await gateway.call("JOIN")
-        else:
-            await self._take_out(gateway)
+        if (await gateway.call("LEAVE")).startswith("+OK"):
+            await asyncio.sleep(self._random.uniform(0.5, 3.0))
+            await gateway.call("JOIN")
         gateway.busy = False
 
     async def _take_out(self, gateway: GatewayProcess) -> None:
         host = self._some_host()
         if host is None or not (await gateway.call(f"OFFLINE {host.name}")).startswith("+OK"):
             return
-        started = host.started
+        started, starts = host.started, gateway.starts
         since = self.now() + OPERATOR_GRACE + STOP_SLACK
         self.ledger.stops(gateway.rank, host.name, started, since)
-        await asyncio.sleep(self._random.uniform(1.5, 4.0))
+        await asyncio.sleep(self._random.uniform(1.5, 5.0))
+        if gateway.shared is None and gateway.starts != starts:
+            return  # a process that starts from nothing knows of no call: see `_stop` and `_kill`
         at = self.now()
         await gateway.call(f"ONLINE {host.name}")
         self.ledger.starts_again(gateway.rank, host.name, started, at)
 
+    def _forget_calls(self, rank: int) -> None:
+        """This gateway's next process starts from nothing."""
+        for gateway, host, started in list(self.ledger.stopped):
+            if gateway == rank and self.registry.hosts[host][1] == "Ready":
+                self.ledger.starts_again(rank, host, started, self.now())
+
     def inside(self) -> list[str]:
         """What the gateways themselves counted, and every trace in their logs."""
         found = []
