Test that fails: a long answer that its replaced process can't end in time

Cause, as the issue has it: the old process has SIGKILL 3.7 s after SIGTERM while its host still gives the answer.

Also here: the soak's slices of ports are held, so that soaks side by side do not take each other's; a host that was put back is not taken for out by a later restart.

--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -156,6 +156,7 @@
             connection.close()
             return False
         request = AskedRequest(name, rules, gateway, self._now())
+        request.how = "kept connection" if reused else "new connection"
         before = self._ledger.asked.get(name)
         self._ledger.asked[name] = request
         self.open[gateway].add(request)
@@ -170,6 +171,8 @@
             return False
         finally:
             self.open[gateway].discard(request)
+        if told is None:
+            request.how += f", ended at {self._now():.3f} s"
         if told is None and any(abs(at - request.sent) < KILL_TIME for at in self._killed[gateway]):
             request.excused = "killed"
         if told is None:
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -28,15 +28,26 @@
 
 # Ports under those that the system gives to outgoing connections, in slices for soaks that run side by side.
 FIRST_PORT, SLICE, SLICES = 10_000, 550, 40
-_ports = itertools.count(FIRST_PORT + os.getpid() % SLICES * SLICE)
 
 
-def free_port() -> int:
-    """A port that nobody listens at, and that no outgoing connection is given meanwhile."""
-    for port in _ports:
-        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
-            return port
-    raise AssertionError("itertools.count ends")
+class Ports:
+    """A slice of ports that no other soak takes from while this one holds the first of them."""
+
+    def __init__(self) -> None:
+        for slice_number in range(SLICES):
+            first = FIRST_PORT + slice_number * SLICE
+            with contextlib.suppress(OSError):
+                self._held = socket.create_server(("127.0.0.1", first), reuse_port=False)
+                self._ports = itertools.count(first + 1)
+                return
+        raise RuntimeError("every slice of ports is taken")
+
+    def free(self) -> int:
+        """A port that nobody listens at, and that no outgoing connection is given meanwhile."""
+        for port in self._ports:
+            with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+                return port
+        raise AssertionError("itertools.count ends")
 
 
 def settings(rank: int, gateways: int, attempts: int) -> dict[str, Any]:
@@ -83,6 +94,7 @@
     agent: Agent
     extra: dict[str, str]
     on_kill: Callable[[int], None]
+    ports: Ports
     shared: socket.socket | None = None  # its listening socket, where it can be upgraded
     port: int = 0
     control: int = 0
@@ -117,8 +129,8 @@
 
     async def start(self) -> None:
         """Start a process; it is the one that serves from now on."""
-        self.port = self.port or (self.shared.getsockname()[1] if self.shared else free_port())
-        self.control = free_port()
+        self.port = self.port or (self.shared.getsockname()[1] if self.shared else self.ports.free())
+        self.control = self.ports.free()
         self.starts += 1
         own = self.folder / f"tmp-{self.rank}"
         own.mkdir(exist_ok=True)
--- a/benchmarks/soak/ledger.py
+++ b/benchmarks/soak/ledger.py
@@ -45,6 +45,7 @@
     body: bytes = b""
     left: float | None = None  # when its client closed
     excused: str = ""  # why no answer is owed
+    how: str = ""  # the connection that it went over, and what came of it
 
 
 @dataclass(slots=True, eq=False)
@@ -100,7 +101,7 @@
         """A call has put the host back."""
         spans = self.stopped.get((gateway, host, started))
         if spans:
-            spans[-1] = Span(spans[-1].since, at)
+            spans[-1] = Span(spans[-1].since, min(spans[-1].until, at))
 
     def judge(self) -> list[Violation]:
         """Every broken rule."""
@@ -124,7 +125,7 @@
         name, found = request.name, []
         if request.answered is None and request.left is None and not request.excused:
             found.append(
-                Violation("lost", name, f"at {request.sent:.3f} s, gateway {request.gateway}: no answer")
+                Violation("lost", name, f"at {request.sent:.3f} s, gateway {request.gateway}: {request.how}")
             )
         late = (request.answered or 0.0) - request.sent - request.rules.deadline
         ends = request.answered or request.sent
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -13,7 +13,7 @@
 
 from benchmarks.soak.clients import Clients
 from benchmarks.soak.discovery import STOP_SLACK, Agent, Registry
-from benchmarks.soak.fleet import GatewayProcess
+from benchmarks.soak.fleet import GatewayProcess, Ports
 from benchmarks.soak.hosts import FALL_TIME, Host
 from benchmarks.soak.ledger import HELD_UP, OPERATOR_GRACE, Ledger, Span, Violation
 from benchmarks.soak.plan import Plan
@@ -64,6 +64,7 @@
         self.hosts: list[Host] = []
         self.gateways: list[GatewayProcess] = []
         self._next_host = 0
+        self._ports = Ports()
         self._tree = tree
         self._tasks: set[asyncio.Task[Any]] = set()
         self.acts = 0
@@ -108,6 +109,7 @@
                     agent,
                     extra,
                     lambda rank: self.clients.excuse(rank, "killed"),
+                    self._ports,
                     shared,
                 )
             )
