Hand long answers over to the next process: both sockets, and what is still to come

Change: once a newer process serves, the older one stops reading each answer that it passes on, lets what was read go out, and offers the client's and the host's descriptors (SCM_RIGHTS) with the framing that is left (length, chunk under way, connection's end). It lets go only when the newer one says that it holds both; else it goes on. ResponseReader keeps count of the chunk under way. Frontend's _Client is ClientConnection now. Not passed on: uploads, requests not yet answered, and an answer that a process has from an older one, should that be replaced in its turn.

Rejected: telling the chunk's rest by feeding bytes one at a time; passing bytes of write buffers along, which are private to asyncio.

--- /dev/null
+++ b/tests/streaming/test_remainder.py
@@ -0,0 +1,107 @@
+"""The rest of a body, wherever it is cut."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from whinrouter.net.http import ResponseReader, chunk
+from whinrouter.streaming.flow import Flow
+from whinrouter.streaming.remainder import (
+    BrokenRemainderError,
+    Framing,
+    Remainder,
+    RemainderReader,
+    left_of_chunk,
+)
+
+BODY = bytes(range(256)) * 300
+
+
+class _Source:
+    def hold(self) -> None: ...
+    def go_on(self) -> None: ...
+    def unwanted(self) -> None: ...
+
+
+class _Sink:
+    def __init__(self) -> None:
+        self.data = b""
+
+    def take(self, data: bytes) -> None:
+        self.data += data
+
+    def took_all(self) -> None: ...
+    def cut(self) -> None: ...
+    def taken(self) -> int:
+        return -1
+
+
+def _text(framing: Framing, chunks: list[int]) -> bytes:
+    if framing is Framing.LENGTH:
+        return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(BODY) + BODY
+    if framing is Framing.CONNECTION_END:
+        return b"HTTP/1.1 200 OK\r\n\r\n" + BODY
+    text, place = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", 0
+    for size in chunks:
+        text += chunk(BODY[place : place + size]) if BODY[place : place + size] else b""
+        place += size
+    return text + (chunk(BODY[place:]) if BODY[place:] else b"") + b"0\r\n\r\n"
+
+
+@given(
+    st.sampled_from(list(Framing)),
+    st.lists(st.integers(1, 70_000), max_size=6),
+    st.lists(st.integers(1, 90_000), min_size=1, max_size=8),
+)
+def test_two_readers_have_together_what_one_has(framing: Framing, chunks: list[int], cuts: list[int]) -> None:
+    """The first reads pieces until it can tell what is left; the second reads all else."""
+    text, sink = _text(framing, chunks), _Sink()
+    reader = ResponseReader(lambda length: Flow(_Source(), length, 0.0, 10.0, 0.0))
+    place, remainder = 0, None
+    for size in cuts:
+        messages = reader.feed(text[place : place + size])
+        place += size
+        for message in messages:
+            if message.rest is not None:
+                sink.data += message.body
+                message.rest.attach(sink, 0.0)
+        remainder = reader.remainder()
+        if remainder is not None:
+            break
+    if remainder is None:
+        return
+    second = RemainderReader(remainder)
+    sink.data += second.feed(text[place : place + 1000]) + second.feed(text[place + 1000 :])
+    second.end()
+    assert sink.data == BODY
+    assert second.is_whole
+    assert not second.has_surplus
+
+
+@pytest.mark.parametrize(
+    ("before", "came", "left"),
+    [
+        (b"\r\n10\r\n", 4, 12),
+        (b"x\r\n10;name=1\r\n", 4, 12),
+        (b"10\r\n", 4, None),  # the size's first digits may stand in what is not here
+        (b"\r\n4\r\n", 4, None),  # it is whole
+        (b"\r\nzz\r\n", 4, None),
+        (b"\r\n10\r\n", 0, None),
+        (b"", 4, None),
+    ],
+)
+def test_a_chunk_tells_its_size_only_as_a_whole_line(before: bytes, came: int, left: int | None) -> None:
+    assert left_of_chunk(before, came) == left
+
+
+def test_what_is_no_rest_is_refused_and_what_comes_behind_is_noticed() -> None:
+    with pytest.raises(BrokenRemainderError):
+        RemainderReader(Remainder(Framing.CHUNKED, 2)).feed(b"abnonsense")
+    reader = RemainderReader(Remainder(Framing.LENGTH, 2))
+    assert reader.feed(b"abHTTP/1.1 200 OK\r\n") == b"ab"
+    assert reader.is_whole
+    assert reader.has_surplus
+    assert not RemainderReader(Remainder(Framing.LENGTH, 2)).end()
+    assert RemainderReader(Remainder(Framing.CONNECTION_END, 0)).end()
--- a/tests/test_unread.py
+++ b/tests/test_unread.py
@@ -36,7 +36,7 @@
     """Between the loop's look at the sockets and the admission of a newcomer other callbacks run."""
     admit = proxy.frontend.admit
 
-    def late(client: frontend._Client) -> bool:
+    def late(client: frontend.ClientConnection) -> bool:
         act()
         return admit(client)
 
--- a/whinrouter/handover/succession.py
+++ b/whinrouter/handover/succession.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
@@ -26,8 +27,10 @@
 from typing import Any
 
 from whinrouter.control.calls import RefusedError
+from whinrouter.handover.answers import AnswerUnderWay
 from whinrouter.handover.channel import MOST_LINES, TAKE_TIME, Peer, Post, call
 from whinrouter.handover.line import Step
+from whinrouter.handover.passing import Offering, Taking
 from whinrouter.handover.words import (
     Called,
     Hello,
@@ -40,7 +43,7 @@
 )
 from whinrouter.interface import Server, State
 from whinrouter.invariants.events import EventKind
-from whinrouter.net.frontend import Frontend
+from whinrouter.net.frontend import ClientConnection, Frontend
 from whinrouter.net.gateway import Gateway
 from whinrouter.net.hosts import HostList, Member
 from whinrouter.net.upstream import Upstream
@@ -49,6 +52,7 @@
 log = logging.getLogger(__name__)
 
 PART = 0.5  # of the limits on hosts, for the newer process while both serve
+PASS_EVERY = 0.05  # seconds between looks for answers to hand over
 TELL_EVERY = 0.2  # seconds between what an older process says of its descriptors
 
 
@@ -97,6 +101,8 @@
     _post: Post | None = None
     _tasks: set[asyncio.Task[object]] = field(default_factory=set)
     _held: int = 0  # descriptors that are the older one's still
+    _taking: Taking | None = None  # answers that older processes began
+    _passing: set[ClientConnection] = field(default_factory=set)
 
     async def take(self) -> Snapshot | None:
         """Ask the older process, if there is one, and go on from what it knows."""
@@ -144,6 +150,8 @@
         """This process serves: it is the one that the next asks."""
         self._post = Post(self.path, self, self._admit)
         await self._post.open()
+        self._taking = Taking(self._answers_path, asyncio.get_running_loop().time)
+        await self._taking.open()
         if self.older is not None:
             self.older.line.ready()
             self.older.say(Ready())
@@ -153,12 +161,42 @@
         """The process ends: the other side sees it."""
         if self._post is not None:
             self._post.close()
+        if self._taking is not None:
+            self._taking.stop()
         for peer in [self.older, *self.newer]:
             if peer is not None:
                 peer.close()
         for task in self._tasks:
             task.cancel()
 
+    @property
+    def _answers_path(self) -> Path:
+        return self.path.with_name(f"{self.path.name}.answers")
+
+    async def until_passed(self, seconds: float) -> None:
+        """Wait, for so long at most, until the answers that came from older processes have ended."""
+        if self._taking is not None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    await self._taking.until_done()
+
+    async def _pass_answers(self, line: Peer) -> None:
+        """Hand over what is passed on here, and may take longer than this process lives."""
+        while line.line.step is Step.BESIDE:
+            for client in self.frontend.streaming - self._passing:
+                if client.passed_on is not None:
+                    self._passing.add(client)
+                    self._start(self._pass_answer(client))
+            await asyncio.sleep(PASS_EVERY)
+
+    async def _pass_answer(self, client: ClientConnection) -> None:
+        answer = AnswerUnderWay(client, asyncio.get_running_loop().time)
+        try:
+            if await Offering(self._answers_path).hand_over(answer):
+                self.gateway.note(EventKind.TAKEN_OVER, "an answer is passed on to the newer process")
+        finally:
+            self._passing.discard(client)
+
     def share(self, name: str, word: str, but: Peer | None = None) -> None:
         """Tell the others what was called here, or at `but`."""
         self._tell(Called(name, word), but)
@@ -235,8 +273,11 @@
         self.gateway.note(EventKind.TAKEN_OVER, "by a newer process")
         if self._post is not None:
             self._post.close()
+        if self._taking is not None:
+            self._taking.close()
         await self.frontend.listener.accept_rest()
         self.frontend.close_listener()
+        self._start(self._pass_answers(line))
         while line.line.step is Step.BESIDE:
             line.say(Holding(len(self.frontend.connections) + self.upstream.open + self._held))
             await asyncio.sleep(TELL_EVERY)
@@ -244,7 +285,8 @@
     def _hold(self, descriptors: int) -> None:
         """The older one still holds so many: the rest is ours, in halves."""
         self._held = descriptors
-        half = max(1, (self.descriptors - descriptors) // 2)
+        passed = 2 * len(self._taking.answers) if self._taking is not None else 0
+        half = max(1, (self.descriptors - descriptors - passed) // 2)
         self.frontend.limit = half
         self.upstream.limit = half
 
@@ -274,6 +316,8 @@
         await self.accept_again()
         if self._post is not None:
             await self._post.open()
+        if self._taking is not None:
+            await self._taking.open()
 
     def _start(self, work: Coroutine[Any, Any, object]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/whinrouter/invariants/lifecycle.py
+++ b/whinrouter/invariants/lifecycle.py
@@ -54,11 +54,18 @@
     SURPLUS = "more connections than there may be"
     SHUTDOWN = "the process takes no more"
     OVERLOAD = "it was refused unread"
+    PASSED_ON = "another process goes on with its answer"
 
 
 # What ends a request by no act of this gateway's own; any other reason has to find nothing owed.
 FREES_REQUEST = frozenset(
-    {CloseReason.CLIENT_LEFT, CloseReason.BAD_INPUT, CloseReason.BODY_STALLED, CloseReason.ANSWER_BROKEN}
+    {
+        CloseReason.CLIENT_LEFT,
+        CloseReason.BAD_INPUT,
+        CloseReason.BODY_STALLED,
+        CloseReason.ANSWER_BROKEN,
+        CloseReason.PASSED_ON,
+    }
 )
 
 
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -102,17 +102,17 @@
         self._advises = settings.retry_after
         self._random = Random()
         self.limit = limit  # connections at most
-        self.connections: set[_Client] = set()
-        self.surplus: set[_Client] = set()  # those of them that are past the limit
+        self.connections: set[ClientConnection] = set()
+        self.surplus: set[ClientConnection] = set()  # those of them that are past the limit
         # Those with no request in work, in the order in which they make room for others.
-        self.waiting: OrderedDict[_Client, None] = OrderedDict()
+        self.waiting: OrderedDict[ClientConnection, None] = OrderedDict()
         # Those with a body on its way, in either direction.
-        self.streaming: set[_Client] = set()
+        self.streaming: set[ClientConnection] = set()
         self.open_ids: set[str] = set()  # of the requests in work
         self.buffered = 0  # bytes of requests that are not in work yet
         self.presence = Presence()
         self._loop = asyncio.get_running_loop()
-        self.listener = Listener(lambda: _Client(self))
+        self.listener = Listener(lambda: ClientConnection(self))
 
     def listen(self, host: str, port: int, inherited: int | None = None) -> Coroutine[Any, Any, int]:
         """Take connections, once awaited; return the port, which 0 leaves to the system.
@@ -165,7 +165,7 @@
         for client in list(self.connections):
             client.close_if_idle()
 
-    def admit(self, client: _Client) -> bool:
+    def admit(self, client: ClientConnection) -> bool:
         """Hold no more than the limit: descriptors would run out, and connections to hosts would fail.
 
         Whoever has waited longest without a request in work makes room: a client just opens another. Those
@@ -181,7 +181,7 @@
         self.connections.add(client)
         return True
 
-    def admit_surplus(self, client: _Client) -> bool:
+    def admit_surplus(self, client: ClientConnection) -> bool:
         """Keep a connection past the limit for one request that is to be refused, if few are kept so."""
         if len(self.surplus) >= MAX_SURPLUS:
             return False
@@ -189,7 +189,7 @@
         self.connections.add(client)
         return True
 
-    def _make_room(self, gives_way: Callable[[_Client], bool]) -> bool:
+    def _make_room(self, gives_way: Callable[[ClientConnection], bool]) -> bool:
         """Close the one that has waited longest of those that may go; False if none of the first few may."""
         may_go = (other for other in self.waiting if gives_way(other) and not other.owed)
         for other in list(islice(may_go, LOOKS)):
@@ -224,7 +224,7 @@
         return [(b"retry-after", b"%.3f" % self._random.uniform(*COME_BACK))]
 
 
-class _Client(Reading):
+class ClientConnection(Reading):
     """One client's connection; its requests are handled one after the other."""
 
     def __init__(self, front: Frontend) -> None:
@@ -440,6 +440,37 @@
     def taken(self) -> int:
         return acknowledged(self._transport) if self._transport is not None else -1
 
+    @property
+    def passed_on(self) -> Flow | None:
+        """The body of the answer that is on its way."""
+        return self._out
+
+    @property
+    def chunked(self) -> bool:
+        """Whether that goes out in chunks."""
+        return self._chunked
+
+    @property
+    def sends_body(self) -> bool:
+        """Whether a body of the client's is still to come."""
+        return self._in is not None
+
+    @property
+    def descriptor(self) -> int:
+        """Its socket's."""
+        return int(self._transport.get_extra_info("socket").fileno()) if self._transport is not None else -1
+
+    def let_go(self) -> None:
+        """Another process goes on with the answer: the connection is closed here without a word."""
+        self._note_close(CloseReason.PASSED_ON)
+        self._out = None
+        self._front.streaming.discard(self)
+        self._stop_reading()
+        self._busy, self._request = False, None
+        self._free_id()
+        if self._transport is not None:
+            self._transport.abort()
+
     def stuck(self, now: float) -> bool:
         """Whether a body on its way is not moved."""
         return self._sends_too_slowly(now) or (self._out is not None and self._out.overdue(now))
--- a/whinrouter/net/http.py
+++ b/whinrouter/net/http.py
@@ -10,6 +10,7 @@
 import httptools
 
 from whinrouter.streaming.flow import Flow
+from whinrouter.streaming.remainder import Framing, Remainder, left_of_chunk
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -19,6 +20,7 @@
 # Bytes of framing: chunks' lengths and extensions, trailers. A body may come in chunks of one byte, each with
 # some extension; what is all framing and no body is no message.
 MAX_FRAMING, FRAMING_A_BYTE = 64 * 1024, 256
+MAX_SIZE_LINE = 256  # bytes of a line with a chunk's size that are looked at, to tell what is left of it
 
 # One for all reads; asyncio would otherwise allocate 256 KiB for each.
 _BUFFER = memoryview(bytearray(64 * 1024))
@@ -111,12 +113,16 @@
         self._in_head = False
         self._sent = 0  # bytes of a body that is passed on
         self._newer = True  # the message that comes is not of HTTP/1.0
+        self._body_at_end = 0  # bytes of the latest read, at its end, that are of a chunk that goes on
+        self._chunk_left: int | None = None  # bytes that are left of that chunk; None if nobody can tell
+        self._before = b""  # the latest bytes that were fed, for a chunk's size that came in pieces
         self._told = False  # how long its body is, in whichever way
         self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser
 
     def feed(self, data: bytes | memoryview) -> list[Message]:
         """Take what came in; return the messages that are to be had. After an `error` nothing may follow."""
         self._messages = []
+        self._body_at_end = 0
         self._read = len(data)
         self.size += self._read
         self._framing += self._read
@@ -133,8 +139,22 @@
             self.error = fault.__context__
         except httptools.HttpParserError as broken:
             self.error = BadMessageError(HTTPStatus.BAD_REQUEST, f"broken HTTP: {broken}")
+        if self._told and self._length is None and self.began:
+            self._track_chunk(data)
         return self._messages
 
+    def _track_chunk(self, data: bytes | memoryview) -> None:
+        """Keep count of what is left of the chunk that the latest read ends in."""
+        if self._body_at_end >= len(data) and self._chunk_left is not None:
+            self._chunk_left -= len(data)
+        else:
+            begins = len(data) - self._body_at_end
+            before = bytes(data[max(0, begins - MAX_SIZE_LINE) : begins])
+            if begins < MAX_SIZE_LINE:
+                before = self._before + before
+            self._chunk_left = left_of_chunk(before, self._body_at_end)
+        self._before = (self._before + bytes(data[-MAX_SIZE_LINE:]))[-MAX_SIZE_LINE:]
+
     def finish(self) -> list[Message]:
         """The connection has ended; return the message that ends with it, if there is one."""
         self._messages = []
@@ -171,6 +191,7 @@
         self._target, self._headers, self._body = b"", [], b""
         self._framing, self._length, self._until_end, self.rest = 0, None, False, None
         self._told = False
+        self._chunk_left, self._before = None, b""
         self._sent = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -212,6 +233,7 @@
     def on_body(self, data: bytes) -> None:
         if self._framing > 0:
             self._framing -= FRAMING_A_BYTE * len(data)
+        self._body_at_end += len(data)
         if self.rest is not None:
             self._put(data)
             return
@@ -323,6 +345,23 @@
         if not self.bare:
             super().on_body(data)
 
+    def on_chunk_header(self) -> None:
+        self._body_at_end = 0
+
+    def on_chunk_complete(self) -> None:
+        self._body_at_end = 0
+
+    def remainder(self) -> Remainder | None:
+        """What is still to come of the body that is passed on; None if that can't be told now."""
+        if self.rest is None or self.error is not None:
+            return None
+        if self._length is not None:
+            return Remainder(Framing.LENGTH, self._length - self._sent)
+        if self._until_end:
+            return Remainder(Framing.CONNECTION_END, 0)
+        left = self._chunk_left
+        return Remainder(Framing.CHUNKED, left) if left else None
+
     def on_message_complete(self) -> None:
         status = self._parser.get_status_code()
         if status >= 200 and not self.bare:  # an interim answer (1xx) is not the answer
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -16,6 +16,7 @@
 from whinrouter.net.http import LAST_CHUNK, Message, Reading, ResponseReader, chunk
 from whinrouter.net.sockets import acknowledged, age, poller
 from whinrouter.streaming.flow import STALL, Flow
+from whinrouter.streaming.remainder import Remainder
 
 log = logging.getLogger(__name__)
 
@@ -144,6 +145,26 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
+    def remainder(self) -> Remainder | None:
+        """What is still to come of the answer that is passed on, and that the connection closes behind."""
+        attempt = self._attempt
+        is_passed_on = attempt is not None and attempt.streams and self.usable
+        return self._answers.remainder() if is_passed_on and self._body is None else None
+
+    @property
+    def descriptor(self) -> int:
+        """Its socket's."""
+        return int(self._transport.get_extra_info("socket").fileno()) if self._transport is not None else -1
+
+    def let_go(self) -> None:
+        """Another process goes on with the answer: the connection is closed here without a word."""
+        attempt, self._attempt = self._attempt, None
+        if self._transport is not None:
+            self._transport.abort()
+        if attempt is not None:
+            attempt.connection = None
+            attempt.end(Outcome.OK)
+
     def unwanted(self) -> None:
         """The client has left, or nobody wants the answer."""
         if self._attempt is not None:
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -178,8 +178,15 @@
         application.stop()
     await _take_no_more(frontend, replaced=succession is not None and succession.replaced)
     await _until_answered(frontend)
+    if succession is not None:
+        await succession.until_passed(STREAMS_END)
     hosts.stop()
     lag.cancel()
+    _close(gateway, control, succession)
+
+
+def _close(gateway: Gateway, control: ControlServer | None, succession: Succession | None) -> None:
+    """Close what takes calls from operators and from other processes, and say how it went."""
     if control is not None:
         control.close()
     if succession is not None:
--- a/whinrouter/streaming/flow.py
+++ b/whinrouter/streaming/flow.py
@@ -111,6 +111,7 @@
         self._held = False  # the source reads no more
         self._grace = grace
         self._pace = RateFloor(now, grace, floor)
+        self._paused = False  # it is being handed over
         self._taken = -1  # what the sink's reader had when that was last looked at
 
     @property
@@ -118,6 +119,30 @@
         """Whether the source reads no more for now."""
         return self._held
 
+    @property
+    def source(self) -> Source:
+        """Where it comes from."""
+        return self._source
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether all that was put in has gone to the sink."""
+        return not self._kept
+
+    def pause(self, now: float) -> None:
+        """Have the source read no more, though the sink may go on."""
+        self._paused = True
+        self._settle(now)
+
+    def resume(self, now: float) -> None:
+        """Undo `pause`."""
+        self._paused = False
+        self._settle(now)
+
+    def release(self) -> None:
+        """Somebody else goes on with it: neither side is told anything more."""
+        self.stage, self._sink, self._kept, self._size = Stage.ENDED, None, [], 0
+
     def __repr__(self) -> str:
         gone = "all here" if self.came else "to come"
         return f"{self.stage.value}, {gone}, {'full' if self._full else 'open'}, {self._size} bytes held"
@@ -135,7 +160,7 @@
 
     def _settle(self, now: float) -> None:
         """Hold the source while more would have to be kept, and no longer."""
-        hold = self._full if self.stage is Stage.FLOWING else self._size > MOST
+        hold = self._paused or (self._full if self.stage is Stage.FLOWING else self._size > MOST)
         if hold and not self._held and not self.came:
             self._held, self._pace.due = True, now + STALL
             self._source.hold()
