--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -171,6 +171,7 @@
             return False
         finally:
             self.open[gateway].discard(request)
+            request.heard = connection.heard
         if told is None:
             request.how += f", ended at {self._now():.3f} s"
         if told is None and any(abs(at - request.sent) < KILL_TIME for at in self._killed[gateway]):
--- a/benchmarks/soak/hosts.py
+++ b/benchmarks/soak/hosts.py
@@ -145,7 +145,7 @@
             self._spoil(attempt, taken, draw)
             return
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(attempt.body)}\r\n\r\n".encode()
-        self._later(taken, head + attempt.body)
+        self._later(taken, head + attempt.body, attempt=attempt)
 
     def _spoil(self, attempt: SeenAttempt, taken: float, draw: float) -> None:
         body = attempt.body
@@ -157,6 +157,7 @@
         elif draw < 0.15:
             self._later(taken, b"HTTP/1.1 103 Early Hints\r\n\r\n" + good)
         elif draw < 0.20:
+            attempt.broke_off = True
             self._later(taken, good[:-3], then=self.abort)
         else:
             self._later(taken, b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body, then=self._end)
@@ -170,12 +171,20 @@
         if self._transport is not None:
             self._transport.close()
 
-    def _later(self, seconds: float, text: bytes, then: Callable[[], None] | None = None) -> None:
+    def _later(
+        self,
+        seconds: float,
+        text: bytes,
+        then: Callable[[], None] | None = None,
+        attempt: SeenAttempt | None = None,
+    ) -> None:
         """Answer after so long, through a link that may have its own troubles."""
         loop, random = asyncio.get_running_loop(), self._host.random
         if self._host.is_on("link"):
             seconds += random.expovariate(20.0)
             draw = random.random()
+            if attempt is not None:
+                attempt.broke_off = draw < 0.05
             if draw < 0.03:
                 then, text = self.abort, text[: random.randrange(len(text))]
             elif draw < 0.05:
--- a/tests/handover/test_long_answers.py
+++ b/tests/handover/test_long_answers.py
@@ -19,7 +19,7 @@
 from tests.processes import logged
 from tests.test_discovery import HEAD
 from tests.test_program import told
-from whinrouter.handover.passing import Offering, PassedAnswer, Taking
+from whinrouter.handover.passing import LINGER, Offering, PassedAnswer, Taking
 from whinrouter.net.http import Message, chunk
 from whinrouter.streaming.remainder import Framing, Remainder
 
@@ -199,6 +199,27 @@
     taking.stop()
 
 
+@scenario
+async def test_a_slow_reader_has_all_of_it_however_long_its_last_part_takes(tmp_path: Path) -> None:
+    path, answer, length = tmp_path / "answers", _Answer(), 3_000_000
+    answer.message = PassedAnswer(Remainder(Framing.LENGTH, length), length, False)
+    loop = asyncio.get_running_loop()
+    taking = Taking(path, loop.time)
+    await taking.open()
+    assert await Offering(path).hand_over(answer)
+    for peer in (answer.host_peer, answer.client_peer):
+        peer.setblocking(False)
+    sending = loop.create_task(loop.sock_sendall(answer.host_peer, b"x" * length))
+    count = 0
+    while data := await loop.sock_recv(answer.client_peer, 65536):
+        count += len(data)
+        if sending.done() and count < length:
+            await asyncio.sleep(2 * LINGER / 5)  # the last parts, slowly
+    assert count == length
+    await taking.until_done()
+    taking.stop()
+
+
 def _take_and_say(listener: socket.socket, word: bytes) -> None:
     endpoint, _ = listener.accept()
     with endpoint:
--- a/whinrouter/handover/passing.py
+++ b/whinrouter/handover/passing.py
@@ -31,7 +31,7 @@
 from whinrouter.net.connect import LISTEN_PAUSES, with_retries
 from whinrouter.net.http import LAST_CHUNK, chunk
 from whinrouter.net.sockets import acknowledged, reset
-from whinrouter.streaming.flow import STALL, Flow
+from whinrouter.streaming.flow import STALL, TAKES, Flow
 from whinrouter.streaming.remainder import BrokenRemainderError, Remainder, RemainderReader
 
 log = logging.getLogger(__name__)
@@ -298,7 +298,17 @@
         if self._message.chunked:
             transport.write(LAST_CHUNK)
         transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER, self.end)
+        self._wait_for_reader(transport, self.now() + TAKES, self._client.taken())
+
+    def _wait_for_reader(self, transport: asyncio.Transport, ends: float, taken: int) -> None:
+        """End once the last byte has gone out; a slow reader has time for as long as it reads."""
+        loop, latest = asyncio.get_running_loop(), self._client.taken()
+        if latest > taken:
+            ends = self.now() + TAKES
+        if transport.get_write_buffer_size() == 0 or self.now() >= ends:
+            loop.call_later(LINGER, self.end)
+        else:
+            loop.call_later(SWEEP_EVERY, self._wait_for_reader, transport, ends, latest)
 
     def end(self) -> None:
         self._host.drop()
