Keep msgspec out of a gateway without an operator file, and answers apart from the line

Change: Remainder is a NamedTuple; the socket's name begins with answers-.

Measured: tests/handover, tests/operator/test_cli.py and the test of remainders pass.

--- a/whinrouter/handover/succession.py
+++ b/whinrouter/handover/succession.py
@@ -171,7 +171,7 @@
 
     @property
     def _answers_path(self) -> Path:
-        return self.path.with_name(f"{self.path.name}.answers")
+        return self.path.with_name(f"answers-{self.path.name}")
 
     async def until_passed(self, seconds: float) -> None:
         """Wait, for so long at most, until the answers that came from older processes have ended."""
--- a/whinrouter/streaming/remainder.py
+++ b/whinrouter/streaming/remainder.py
@@ -8,10 +8,9 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import Protocol, runtime_checkable
+from typing import NamedTuple, Protocol, runtime_checkable
 
 import httptools
-import msgspec
 
 
 class Framing(Enum):
@@ -22,7 +21,7 @@
     CONNECTION_END = "connection end"
 
 
-class Remainder(msgspec.Struct, frozen=True, array_like=True):
+class Remainder(NamedTuple):
     """The rest of one body."""
 
     framing: Framing
