--- a/tests/handover/test_long_answers.py
+++ b/tests/handover/test_long_answers.py
@@ -15,7 +15,7 @@
 import pytest
 
 from tests.handover.test_upgrade import Gateway, gateway, listening, ready
-from tests.peers import GENEROUS, peers, request_text, scenario, until
+from tests.peers import GENEROUS, peers, request_text, says, scenario, until
 from tests.processes import logged
 from tests.test_discovery import HEAD
 from tests.test_program import told
@@ -143,6 +143,32 @@
             assert await scene.body() == BODY
 
 
+@scenario
+async def test_an_upload_outlives_the_process_that_began_to_read_it(tmp_path: Path) -> None:
+    """A client at 80 kB a second, who needs longer than that process lives."""
+
+    async def watch(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD)
+
+    async with peers(says(), watch) as (one, service):
+        with listening() as listener:
+            config = told(service.port, one.entry())
+            async with gateway(tmp_path, listener, config) as old:
+                await ready(old)
+                reader, writer = await asyncio.open_connection("127.0.0.1", listener.getsockname()[1])
+                text = request_text("chapter-buy", {"Content-Length": str(len(BODY))}, BODY)
+                step = 20_000
+                writer.write(text[:step])
+                async with gateway(tmp_path, listener, config) as new:
+                    await ready(new)
+                    ending = asyncio.get_running_loop().create_task(_ends_or_is_killed(old.process))
+                    for place in range(step, len(text), step):
+                        writer.write(text[place : place + step])
+                        await asyncio.sleep(step / 80_000)
+                    await ending
+                    assert b" 200 " in await reader.readline()
+
+
 class _Answer:
     """An answer that is to be handed over, with two sockets of its own."""
 
