Soak prints the events of what it found; SIGUSR1 is taken from the start

Change: the soak has all gateways write their events out at the end and prints those of each request that it holds against them; the handler stands beside SIGTERM's.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -67,6 +67,7 @@
     counts = Counter(violation.rule for violation in result.outside)
     lines += [f"outside: {v.rule} {v.request}: {v.detail}" for v in result.outside[:SHOWN]]
     lines += [f"inside: {line[:600]}" for line in result.inside[:SHOWN]]
+    lines += [f"trace: {line[:1500]}" for line in result.traces[:SHOWN]]
     counted = ", ".join(f"{rule} {count}" for rule, count in sorted(counts.items())) or "none"
     verdict = "" if result.is_valid else "; VOID, the player ran late"
     lines.append(f"seed {plan.seed}: violations outside {counted}; inside {len(result.inside)}{verdict}")
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -180,6 +180,12 @@
             self.on_kill(self.rank)
             self.process.kill()
 
+    def write_events(self) -> None:
+        """Have the process write its latest events to its log."""
+        if self.process is not None and self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(signal.SIGUSR1)
+
     def kill_all(self) -> None:
         """Leave nothing behind, however the soak ended."""
         for process in self.processes:
--- a/benchmarks/soak/hosts.py
+++ b/benchmarks/soak/hosts.py
@@ -188,7 +188,7 @@
             if draw < 0.03:
                 then, text = self.abort, text[: random.randrange(len(text))]
             elif draw < 0.05:
-                text = text[: random.randrange(len(text))]  # the rest is stalled for ever
+                then, text = None, text[: random.randrange(len(text))]  # the rest is stalled for ever
             elif draw < 0.3:
                 cut = random.randrange(len(text))
                 loop.call_later(seconds, self._write, text[:cut], None)
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -27,6 +27,7 @@
 LAG_BOUND = 0.2  # a player that ran later than this is no judge
 ACTS_EVERY = 0.7  # seconds between acts of a trouble
 AFTERWARDS = 3.0  # seconds after the last request
+_ADMITTED = re.compile(r"event .* request (\d+) attempt 0: admitted \((\w+)\)")
 _INSIDE = re.compile(rb"invariant ([a-z-]+) violated by request .*")
 
 
@@ -37,6 +38,7 @@
     plan: Plan
     outside: list[Violation]
     inside: list[str]  # the lines of gateways that counted a violation
+    traces: list[str]  # the events of requests that were violated outside
     requests: int
     attempts: int
     served: int
@@ -135,6 +137,8 @@
         await asyncio.sleep(AFTERWARDS)
         for task in tasks:
             task.cancel()
+        for gateway in self.gateways:
+            gateway.write_events()
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=STOP_SLACK + 10.0)
         await asyncio.gather(*(gateway.stop() for gateway in self.gateways))
@@ -366,12 +370,27 @@
                     found.append(f"gateway {gateway.rank}: {line.decode(errors='replace')}")
         return found
 
+    def traces(self, violations: list[Violation]) -> list[str]:
+        """What the gateways noted of the requests that were violated, as far as their events reach back."""
+        found = []
+        names = {violation.request for violation in violations if violation.request}
+        for gateway in self.gateways:
+            lines = gateway.log.read_text(errors="replace").splitlines()
+            for line in lines:
+                admitted = _ADMITTED.search(line)
+                if admitted and admitted[2] in names:
+                    mark = f"request {admitted[1]} attempt"
+                    events = [other.partition("INFO ")[2] for other in lines if mark in other]
+                    found.append(f"gateway {gateway.rank}, {admitted[2]}: " + "; ".join(events))
+        return found
+
     def result(self) -> Result:
-        asked = self.ledger.asked.values()
+        asked, violations = self.ledger.asked.values(), self.ledger.judge()
         return Result(
             self.plan,
-            self.ledger.judge(),
+            violations,
             self.inside(),
+            self.traces(violations),
             len(asked),
             len(self.ledger.attempts),
             sum(request.status == 200 for request in asked),
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -142,6 +142,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGUSR1, _write_events, gateway)
     desk = Desk(gateway.clock.now, loop.time, gateway.list_hosts, frontend.presence)
     desk.violations = gateway.guards.violations.summary
     hosts = plan.hosts(desk.listed)
@@ -169,7 +170,6 @@
     gc.set_threshold(GC_EVERY, 20, 50)
     if application is not None:
         application.start()
-    loop.add_signal_handler(signal.SIGUSR1, _write_events, gateway)
     await stop.wait()
     log.info("stopping: %d requests held", gateway.holds)
     gateway.note(EventKind.STOPPING, f"{gateway.holds} held")
