Hold signals from before the imports to the exit, and coalesce reloads

Symptom: SIGTERM, SIGHUP, SIGUSR1 or SIGINT in series ended the process by the signal, at its start and its end (12 of 12 each); a sidecar that had SIGHUP every 2 ms never came to its end. Cause: imports came before anything held a signal; the loop gives default actions back as it closes, while the interpreter still takes its time; each SIGHUP read the file anew, slower than they came. Reloads are made once for all SIGHUPs of 0.1 s, and none once the process ends. A test asked for the shell's mask, which a forking shell blocks for an instant: it now asks what the shell has started.

--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -24,6 +24,7 @@
 from tests.test_program import is_up, port_of, told, write
 from tests.test_project import ROOT
 from tests.test_sidecar import connect, lay, sidecar
+from whinrouter.coalesced import CoalescedCall
 
 SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1, signal.SIGINT)
 TIMES = 3
@@ -50,11 +51,14 @@
             yield process
 
 
-def _blocked(process: asyncio.subprocess.Process, number: signal.Signals) -> bool:
-    """Whether a process holds this signal back, as the system tells."""
+def _holds(process: asyncio.subprocess.Process, number: signal.Signals) -> bool:
+    """Whether what was started holds this signal back, as the system tells.
+
+    The shell before it does so too for an instant, while it forks; only what it execs does so to stay.
+    """
     lines = Path(f"/proc/{process.pid}/status").read_text().splitlines()
-    mask = next(line for line in lines if line.startswith("SigBlk:"))
-    return bool(int(mask.split()[1], 16) >> (number - 1) & 1)
+    told = dict(line.split(":\t", 1) for line in lines if ":\t" in line)
+    return told["Name"] != "sh" and bool(int(told["SigBlk"], 16) >> (number - 1) & 1)
 
 
 async def _series(process: asyncio.subprocess.Process, number: signal.Signals) -> None:
@@ -86,7 +90,7 @@
 async def test_no_series_from_its_first_instants_on_ends_it(tmp_path: Path, number: signal.Signals) -> None:
     for _ in range(TIMES):
         async with _gateway(tmp_path) as process:
-            await until(lambda: _blocked(process, signal.SIGTERM))
+            await until(lambda: _holds(process, signal.SIGTERM))
             series = asyncio.get_running_loop().create_task(_series(process, number))
             assert await is_up(await port_of(process)) == 503
             process.send_signal(signal.SIGTERM)
@@ -102,7 +106,7 @@
     """It is held until the process can act on it, and not lost."""
     for _ in range(TIMES):
         async with _gateway(tmp_path) as process:
-            await until(lambda: _blocked(process, signal.SIGTERM))
+            await until(lambda: _holds(process, signal.SIGTERM))
             process.send_signal(number)
             await logged(process, "stopping")
             assert await _ended(process) == 0
@@ -120,3 +124,18 @@
                 series = asyncio.get_running_loop().create_task(_series(process, number))
                 assert await _ended(process) == 0
                 await series
+
+
+@scenario
+async def test_calls_that_are_asked_for_in_a_series_are_made_seldom_and_the_last_is_made() -> None:
+    loop, made = asyncio.get_running_loop(), []
+    call = CoalescedCall(loop, lambda: made.append(asked), every=0.05)
+    for asked in range(100):  # noqa: B007 - what the call sees
+        call.ask()
+    assert made == [0], "the first at once"
+    await until(lambda: len(made) == 2)
+    assert made[-1] == 99, "and one for all the others"
+    call.ask()
+    call.stop()
+    await asyncio.sleep(0.1)
+    assert len(made) == 2
--- /dev/null
+++ b/whinrouter/console.py
@@ -0,0 +1,20 @@
+"""The command `copperlead`: signals are held before anything large is imported, where it is to serve."""
+
+from __future__ import annotations
+
+import sys
+
+from whinrouter import signals
+
+
+def main() -> int:
+    """Run the command line; the exit status."""
+    if sys.argv[1:2] == ["run"]:
+        signals.hold()
+    from whinrouter.operator.cli import main as command_line  # noqa: PLC0415 - after signals are held
+
+    return command_line()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -9,14 +9,16 @@
 import signal
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from functools import partial
 from hashlib import blake2b
 from pathlib import Path
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
+from whinrouter import signals
 from whinrouter.balance import Balancer
+from whinrouter.coalesced import CoalescedCall
 from whinrouter.control.calls import Calls
 from whinrouter.control.shell import ControlServer
 from whinrouter.interface import SECOND, Settings
@@ -53,6 +55,8 @@
 # rare: with Python's own 700 it cost up to a tenth of all CPU.
 GC_EVERY = 20_000
 SELDOM = 1.0  # seconds between two log lines of a kind
+# Seconds between two reloads: SIGHUPs that come faster than a file is read must not keep the loop busy.
+RELOAD_EVERY = 0.1
 
 
 class Hosts(Protocol):
@@ -116,14 +120,6 @@
     listener: int | None = None  # the descriptor of a socket that listens for clients already
 
 
-def hold_reloads() -> None:
-    """Let SIGHUP wait until `serve` can act on it; to be called before the configuration is read.
-
-    Until then it would end the process; and what it tells of may be newer than what was read.
-    """
-    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
-
-
 def serve(plan: Plan) -> None:
     """Run until SIGTERM or SIGINT, or until the application ends if it is to end with that.
 
@@ -131,7 +127,15 @@
     """
     door = Door(OwnLimit([kind.aim / SECOND for kind in plan.settings.classes]))
     with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(door)) as runner:
-        runner.run(_serve(plan, door))
+        runner.run(_held_at_its_end(_serve(plan, door)))
+
+
+async def _held_at_its_end(work: Coroutine[Any, Any, None]) -> None:
+    """Hold signals from the end of this work on: the loop gives them their default actions as it closes."""
+    try:
+        await work
+    finally:
+        signals.hold()
 
 
 async def _serve(plan: Plan, door: Door) -> None:
@@ -143,6 +147,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, _write_events, gateway)
+    signals.release((signal.SIGTERM, signal.SIGINT, signal.SIGUSR1))
     desk = Desk(gateway.clock.now, loop.time, gateway.list_hosts, frontend.presence)
     desk.violations = gateway.guards.violations.summary
     hosts = plan.hosts(desk.listed)
@@ -153,8 +158,9 @@
     else:
         hosts.resume(told.source, told.revision)
     retune = partial(_retune, gateway, frontend, upstream, succession)
-    loop.add_signal_handler(signal.SIGHUP, plan.reload, hosts, retune)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
+    reload = CoalescedCall(loop, partial(plan.reload, hosts, retune), RELOAD_EVERY)
+    loop.add_signal_handler(signal.SIGHUP, reload.ask)
+    signals.release((signal.SIGHUP,))
     control = await _control(plan, desk, lambda: _serves(frontend, succession))
     application = _application(plan, frontend, stop)
     if application is None:
@@ -171,6 +177,7 @@
     if application is not None:
         application.start()
     await stop.wait()
+    reload.stop()
     log.info("stopping: %d requests held", gateway.holds)
     gateway.note(EventKind.STOPPING, f"{gateway.holds} held")
     frontend.presence.stop(loop.time())
--- a/whinrouter/sidecar.py
+++ b/whinrouter/sidecar.py
@@ -11,6 +11,7 @@
 from functools import partial
 from pathlib import Path
 
+from whinrouter import signals
 from whinrouter.interface import SECOND, Effect, RequestClass, Scope, Settings
 from whinrouter.membership.patience import asked
 from whinrouter.net.config import ConfigError, inherited
@@ -23,7 +24,7 @@
 from whinrouter.operator.explain import changes
 from whinrouter.operator.loading import Loaded, load
 from whinrouter.operator.values import Address
-from whinrouter.program import Beside, Hosts, Plan, Retune, Tuning, hold_reloads, log_to_stderr, serve
+from whinrouter.program import Beside, Hosts, Plan, Retune, Tuning, log_to_stderr, serve
 
 log = logging.getLogger("whinrouter")
 
@@ -44,7 +45,7 @@
 
     `digest`: what `copperlead sidecar check` showed; a file that has changed since is refused.
     """
-    hold_reloads()
+    signals.hold()
     loaded = load(path)
     findings = check(loaded)
     for finding in findings:
