Have each client answered before a process may be killed; a stand-in that reads uploads

Symptom: in a plain stop a purchase whose upload was whole 1.0 s after SIGTERM had no answer as SIGKILL came, 2.7 s after SIGTERM; a request that was still being received was told nothing at all. Cause: what was unanswered at the end had no bound but its own time, 2.4 s and the longest deadline, which is more than a process lives. Change: Presence.last_answer is the one moment, derived from the settings in force: the earliest kill less 0.4 s. Requests that begin or come whole after the signal have their answers by then (Gateway.answer_by), what may have run as a failure; what is still being received then is refused, as nothing of it was sent on.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -24,6 +24,7 @@
 from whinrouter.net.hosts import HostList, Member, number
 from whinrouter.net.http import Message, RequestReader, ResponseReader, write_answer
 from whinrouter.net.upstream import Upstream
+from whinrouter.streaming.flow import Flow
 
 READ = RequestClass("page-read", 400 * MS, 15_000 * MS, Effect.IDEMPOTENT, worth=3)
 BUY = RequestClass("chapter-buy", 400 * MS, 20_000 * MS, worth=8)
@@ -87,6 +88,47 @@
     writer.transport.abort()
 
 
+class _LargeBody:
+    """Gathers a body that the reader gives out in parts."""
+
+    def __init__(self) -> None:
+        self._request: Message | None = None  # of which the rest is to come
+        self._parts: list[bytes] = []
+        self._is_whole = False
+
+    def flow(self, length: int | None) -> Flow:
+        return Flow(self, length, 0.0, 0.0, 0.0)
+
+    def whole(self, requests: list[Message]) -> list[Message]:
+        """The requests that are whole by now, of those that were given out."""
+        found = []
+        for request in requests:
+            if request.rest is None:
+                found.append(request)
+                continue
+            self._request, self._parts, self._is_whole = request, [request.body], False
+            request.rest.attach(self, 0.0)
+        if self._request is not None and self._is_whole:
+            self._request.body = b"".join(self._parts)
+            found.append(self._request)
+            self._request = None
+        return found
+
+    def take(self, data: bytes) -> None:
+        self._parts.append(data)
+
+    def took_all(self) -> None:
+        self._is_whole = True
+
+    def taken(self) -> int:
+        return -1
+
+    def hold(self) -> None:
+        """It is read as it comes."""
+
+    go_on = unwanted = cut = hold
+
+
 @dataclass
 class Peer:
     """A server that hands each whole request to its script."""
@@ -109,11 +151,12 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         self.writers.append(writer)
-        parser = RequestReader()
+        body = _LargeBody()
+        parser = RequestReader(body.flow)
         try:
             while data := await reader.read(65536):
                 self.taken += len(data)
-                for request in parser.feed(data):
+                for request in body.whole(parser.feed(data)):
                     self.requests.append(request)
                     self.askers.append(writer)
                     await self.script(request, writer)
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -139,9 +139,22 @@
 
     def time_left(self) -> float:
         """Seconds within which a request that comes now is to be answered, whatever its client says."""
-        longest = self.longest
-        left = self.presence.time_left(self._loop.time(), longest)
-        return longest if left is None else left
+        longest, now = self.longest, self._loop.time()
+        left, last = self.presence.time_left(now, longest), self.presence.last_answer(longest)
+        return min(longest if left is None else left, longest if last is None else last - now)
+
+    def stop(self) -> None:
+        """The process ends: what begins or comes whole from now on has its answer before the kill."""
+        now = self._loop.time()
+        self.presence.stop(now)
+        last = self.presence.last_answer(self.longest)
+        if last is not None:
+            self.gateway.answer_by(last - now)
+
+    def refuse_rest(self) -> None:
+        """The last moment for answers has come: what is still being received can't be taken any more."""
+        for client in list(self.connections):
+            client.refuse_rest()
 
     @property
     def ready(self) -> bool:
@@ -522,12 +535,19 @@
         self._requests.forget()
         self._count()
 
-    def _reject(self, status: HTTPStatus) -> None:
+    def refuse_rest(self) -> None:
+        """Refuse a request of which a part has come, and nothing was sent on; close if there is none."""
+        if self.idle:
+            self.close_if_idle()
+        elif self.gives_way and self._requests.began and not (self._deaf or self._lingering):
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE, CloseReason.SHUTDOWN)
+
+    def _reject(self, status: HTTPStatus, reason: CloseReason = CloseReason.BAD_INPUT) -> None:
         """Nothing that comes after this can be told apart any more.
 
         A request in work ends with it: what follows shows that its length was wrong, and so what it held.
         """
-        self._note_close(CloseReason.BAD_INPUT)
+        self._note_close(reason)
         self._end_request()
         self._stop_reading()
         self._close = True
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -147,6 +147,7 @@
         self._last = 0
         self._events: deque[tuple[Event, RequestId | None]] = deque()
         self._working = False
+        self._last_answer = 0  # moment by which late requests have their answers; 0: none
         self.has_list = False
 
     @property
@@ -215,21 +216,39 @@
         message.patience = timeout / SECOND
         if streams:  # its time begins with the end of its body
             held.life.deadline, held.patience = now + LONGEST_BODY, timeout
-        held.timer = self._timers.call_later((held.life.deadline - now) / SECOND, self._expire, held)
+        self._set_deadline(held, held.life.deadline, now)
         self._feed(Request(request, class_name, timeout, cost, key, retry, tenant, streams), request, now)
         return request
 
+    def answer_by(self, seconds: float) -> None:
+        """The process ends soon: what begins, or whose body is still to come, has its answer in this time."""
+        now = self.clock.now()
+        self._last_answer = now + round(seconds * SECOND)
+        for held in list(self._held.values()):
+            if held.reply is not None and held.comes:
+                self._set_deadline(held, held.life.deadline, now)
+
+    def _set_deadline(self, held: _Held, deadline: int, now: int) -> None:
+        """Have it answered by then, or by the last moment for answers of a process that ends."""
+        held.life.deadline = min(deadline, self._last_answer) if self._last_answer else deadline
+        if held.timer is not None:
+            held.timer.cancel()
+        left = max(0, held.life.deadline - now)
+        held.timer = self._timers.call_later(left / SECOND, self._expire, held)
+
     def whole(self, request: RequestId) -> None:
         """The body of a request that was taken before it has come: its time begins."""
         held = self._held.get(request)
         if held is None or not held.comes:
             return
-        held.whole, held.life.deadline = self._loop.time(), self.clock.now() + held.patience
+        now = self.clock.now()
+        held.whole = self._loop.time()
+        held.life.deadline = now + held.patience
         self._feed(BodyReceived(request), request)
-        if held.timer is not None:
-            held.timer.cancel()
         if held.reply is not None:
-            held.timer = self._timers.call_later(held.patience / SECOND, self._expire, held)
+            self._set_deadline(held, held.life.deadline, now)
+        elif held.timer is not None:
+            held.timer.cancel()
         wishes, held.wishes = held.wishes, []
         for attempt, delay, fired in wishes:
             if not attempt.over:
--- a/whinrouter/operations/presence.py
+++ b/whinrouter/operations/presence.py
@@ -25,6 +25,10 @@
 # longest one at most so much. What comes after the first of these, as its first bytes were here before, has
 # to be answered by then; what came before has its own time.
 ENDS_AFTER, MOST_COUNTED = 0.7, 3.0
+# Seconds before that end by which each client has its answer, or a refusal of what still comes: its way to
+# the client, a loop that runs late, and a client that still sends, which reads the answer before its
+# connection is reset.
+LAST_ANSWERS = 0.4
 
 
 class Stage(Enum):
@@ -73,6 +77,15 @@
             return None
         return max(0.0, self._since + ENDS_AFTER + min(longest, MOST_COUNTED) - now)
 
+    def last_answer(self, longest: float) -> float | None:
+        """The moment by which what came after the signal, or still comes, has its answer; None: none is set.
+
+        `longest`: the longest time that any request has, by the settings in force.
+        """
+        if self.stage is not Stage.STOPPING:
+            return None
+        return self._since + ENDS_AFTER + min(longest, MOST_COUNTED) - LAST_ANSWERS
+
     def rest(self, now: float) -> float | None:
         """Seconds that a connection may be idle; None: as long as at other times."""
         if self.stage is Stage.SERVING:
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -180,7 +180,7 @@
     reload.stop()
     log.info("stopping: %d requests held", gateway.holds)
     gateway.note(EventKind.STOPPING, f"{gateway.holds} held")
-    frontend.presence.stop(loop.time())
+    frontend.stop()
     if application is not None:
         application.stop()
     await _take_no_more(frontend, replaced=succession is not None and succession.replaced)
@@ -347,12 +347,16 @@
 async def _until_answered(frontend: Frontend) -> None:
     """Each connection closes with its answer; one who doesn't read must not hold up the exit.
 
-    A request that had begun to come has its time to come whole, and then its class's, by the settings in
-    force.
+    What is still being received as the last moment for answers comes is refused: its last byte would make it
+    ours, with nobody left to answer it.
     """
+    loop = asyncio.get_running_loop()
+    last = frontend.presence.last_answer(frontend.longest) or loop.time()
     try:
         async with asyncio.timeout(RECEIVE_TIME + frontend.longest):
             while frontend.connections:
+                if loop.time() >= last:
+                    frontend.refuse_rest()
                 await asyncio.sleep(0.01)
         return
     except TimeoutError:
