Own the transport of clients and hosts, whose unsent bytes can be told

Need: what a slow reader has not taken lies in asyncio's transport, where nobody can ask for it, so that a connection could be handed over only once it was empty: up to 128 KB, which at 64 kB a second can take longer than a replaced process lives. Change: net/transport.py, a stream socket on the loop's public calls; freeze() stops both ways and returns the unsent bytes, thaw() goes on. The accept loop and connect use it; connections are set up in the turn in which they are accepted. Two tests injected failures into loop.create_connection, which is not called any more: they do the same at loop.sock_connect. The series in tests/test_signals.py sent by Popen.send_signal, which takes the exit status from asyncio's watcher (seen: status 255, "Unknown child process"): it sends by os.kill.

--- a/tests/faults/test_local_failures.py
+++ b/tests/faults/test_local_failures.py
@@ -18,14 +18,14 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.errors: list[int] = []
-        real = asyncio.BaseEventLoop.create_connection
+        real = asyncio.SelectorEventLoop.sock_connect
 
-        async def create_connection(loop: Any, *args: Any, **kwargs: Any) -> Any:
+        async def sock_connect(loop: Any, *args: Any) -> None:
             if self.errors:
                 raise OSError(self.errors.pop(), "it fails for a moment")
-            return await real(loop, *args, **kwargs)
+            await real(loop, *args)
 
-        monkeypatch.setattr(asyncio.BaseEventLoop, "create_connection", create_connection)
+        monkeypatch.setattr(asyncio.SelectorEventLoop, "sock_connect", sock_connect)
 
 
 @pytest.fixture
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -62,10 +63,15 @@
 
 
 async def _series(process: asyncio.subprocess.Process, number: signal.Signals) -> None:
-    """One signal after the other for as long as the process is there."""
-    while process.returncode is None:
-        process.send_signal(number)
-        await asyncio.sleep(SERIES_EVERY)
+    """One signal after the other for as long as the process is there.
+
+    By its number: `Popen.send_signal` looks whether it has ended, and would take its exit status from whoever
+    waits for that ("Unknown child process", 255).
+    """
+    with contextlib.suppress(ProcessLookupError):
+        while process.returncode is None:
+            os.kill(process.pid, number)
+            await asyncio.sleep(SERIES_EVERY)
 
 
 async def _ended(process: asyncio.subprocess.Process) -> int:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -14,6 +14,7 @@
 from whinrouter.net.attempt import Attempt
 from whinrouter.net.hosts import Member, number
 from whinrouter.net.http import Message
+from whinrouter.net.sockets import readable
 from whinrouter.net.upstream import REST, Upstream
 
 HOST = number("s-0")
@@ -360,15 +361,14 @@
     server = await asyncio.start_server(accept_and_reset, "127.0.0.1", 0)
     sender = Sender(server.sockets[0].getsockname()[1])
     loop = asyncio.get_running_loop()
-    connect = loop.create_connection
+    connect = loop.sock_connect
 
-    async def late(*args: Any) -> Any:
+    async def late(endpoint: socket.socket, address: Any) -> None:
         """The reset is there before whoever waits for the connection has its turn."""
-        made = await connect(*args)
-        await until(lambda: sender.upstream.connections == 0)
-        return made
+        await connect(endpoint, address)
+        await until(lambda: readable(endpoint))
 
-    monkeypatch.setattr(loop, "create_connection", late)
+    monkeypatch.setattr(loop, "sock_connect", late)
     assert await sender.outcome() is Outcome.CONNECT_FAILED
     assert sender.upstream.open == 0
     server.close()
--- a/whinrouter/net/accept.py
+++ b/whinrouter/net/accept.py
@@ -22,6 +22,8 @@
 import socket
 from collections.abc import Callable
 
+from whinrouter.net.transport import SocketTransport
+
 log = logging.getLogger(__name__)
 
 FIRST_PAUSE, LONGEST_PAUSE = 0.001, 0.05  # seconds
@@ -55,17 +57,11 @@
         self._loop = asyncio.get_running_loop()
         self._pause = FIRST_PAUSE
         self._resumes: asyncio.TimerHandle | None = None
-        self._setting_up: set[asyncio.Task[None]] = set()
         listener.setblocking(False)
         self._loop.add_reader(listener, self._accept)
 
-    @property
-    def setting_up(self) -> bool:
-        """Whether a connection that was accepted has not had its first call yet."""
-        return bool(self._setting_up)
-
     def stop(self) -> None:
-        """Accept no more; what was accepted still comes up, and the socket stays open."""
+        """Accept no more; what was accepted goes on, and the socket stays open."""
         self._suspend()
 
     def _suspend(self) -> None:
@@ -101,14 +97,8 @@
         self._pause = min(2 * self._pause, LONGEST_PAUSE)
 
     def _set_up(self, connection: socket.socket) -> None:
-        connection.setblocking(False)
-        task = self._loop.create_task(self._connect(connection))
-        self._setting_up.add(task)
-        task.add_done_callback(self._setting_up.discard)
-
-    async def _connect(self, connection: socket.socket) -> None:
         try:
-            await self._loop.connect_accepted_socket(self._protocol, connection)
+            SocketTransport(connection, self._protocol())
         except OSError as error:
             log.warning("a connection that was accepted could not be set up: %s", error.strerror)
             connection.close()
--- a/whinrouter/net/connect.py
+++ b/whinrouter/net/connect.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import logging
 import os
 import socket
 from collections.abc import Awaitable, Callable, Collection, Sequence
 from enum import Enum
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from whinrouter.net.accept import Acceptor
 from whinrouter.net.sockets import readable
+from whinrouter.net.transport import SocketTransport
 
 log = logging.getLogger(__name__)
 
@@ -71,14 +73,50 @@
 
     OSError as the last try had it. There is no limit of time: the caller sets one.
     """
-    loop = asyncio.get_running_loop()
 
     async def try_once() -> P:
-        return (await loop.create_connection(protocol, *address))[1]
+        connected = await _connected(address)
+        made = protocol()
+        try:
+            SocketTransport(connected, made)
+        except OSError:
+            connected.close()
+            raise
+        return made
 
     return await with_retries(try_once, CONNECT_PAUSES, LOCAL_ERRORS)
 
 
+async def _connected(address: tuple[str, int]) -> socket.socket:
+    """A socket that is connected to this address, or to the first of a name's that takes the connection."""
+    loop = asyncio.get_running_loop()
+    failure = OSError(errno.EADDRNOTAVAIL, "the name has no address")
+    for family, target in await _resolved(address):
+        endpoint = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            endpoint.setblocking(False)
+            await loop.sock_connect(endpoint, target)
+            return endpoint
+        except OSError as error:
+            failure = error
+            endpoint.close()
+        except BaseException:
+            endpoint.close()
+            raise
+    raise failure
+
+
+async def _resolved(address: tuple[str, int]) -> list[tuple[socket.AddressFamily, Any]]:
+    """The addresses that this one stands for: itself unless it is a name."""
+    host, port = address
+    for family in (socket.AF_INET, socket.AF_INET6):
+        with contextlib.suppress(OSError):
+            socket.inet_pton(family, host)
+            return [(family, (host, port))]
+    found = await asyncio.get_running_loop().getaddrinfo(host, port, type=socket.SOCK_STREAM)
+    return [(family, target) for family, _, _, _, target in found]
+
+
 async def connect(
     protocol: Callable[[], P], address: tuple[str, int], seconds: float, up: Callable[[P], None]
 ) -> ConnectResult:
@@ -138,7 +176,7 @@
     async def accept_rest(self) -> None:
         """Take what waits to be accepted: closing the listener would reset it, with the requests on it.
 
-        What waits at a shared one is the others': only what was accepted has to come up.
+        What waits at a shared one is the others'.
         """
         quiet, acceptor = 0, self._acceptor
         if self.shared and acceptor is not None:
@@ -148,8 +186,6 @@
                 while not self.shared and self._socket is not None and quiet < ACCEPT_TURNS:
                     quiet = 0 if readable(self._socket) else quiet + 1
                     await asyncio.sleep(0)
-                while acceptor is not None and acceptor.setting_up:
-                    await asyncio.sleep(0)
         except TimeoutError:
             log.warning("connections still came faster than they were accepted")
 
--- a/whinrouter/net/sockets.py
+++ b/whinrouter/net/sockets.py
@@ -10,6 +10,8 @@
 import sys
 from collections.abc import Callable
 
+from whinrouter.net.transport import SocketTransport
+
 _TCP_INFO = getattr(socket, "TCP_INFO", None) if sys.platform == "linux" else None
 _LAST_RECEIVED, _INFO_SIZE = 52, 56  # the field's place in struct tcp_info, and the end of what is read
 _ACKED = 120  # the place of tcpi_bytes_acked, of 8 bytes
@@ -73,8 +75,15 @@
     return bool(poll.poll(0))
 
 
+def _is_frozen(transport: asyncio.Transport) -> bool:
+    return isinstance(transport, SocketTransport) and transport.is_frozen
+
+
 def reset(transport: asyncio.Transport) -> None:
     """Close so that the peer can tell it from an end: what it has is not all that it was to get."""
+    if _is_frozen(transport):  # it may be another process's by now
+        transport.abort()
+        return
     with contextlib.suppress(OSError):
         linger = struct.pack("ii", 1, 0)
         transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
@@ -88,7 +97,8 @@
     peer that sees the end before it has written anything knows that nothing was taken.
     """
     endpoint = transport.get_extra_info("socket")
-    if not transport.is_closing() and transport.get_write_buffer_size() == 0:
+    is_shut = transport.is_closing() or _is_frozen(transport)
+    if not is_shut and transport.get_write_buffer_size() == 0:
         with contextlib.suppress(OSError):  # the peer was faster
             endpoint.shutdown(socket.SHUT_RDWR)
     transport.abort()
--- /dev/null
+++ b/whinrouter/net/transport.py
@@ -0,0 +1,260 @@
+"""A stream socket as an asyncio transport whose unsent bytes can be told, and that another process can take.
+
+asyncio's own transport keeps what the system has not taken where nobody can ask for it, so that a connection
+could only be handed over once its peer had read everything: a slow reader takes longer over that than a
+replaced process lives. Otherwise this one does as asyncio's `_SelectorSocketTransport`, on public calls of
+the loop alone.
+
+    OPEN --freeze--> FROZEN --thaw--> OPEN        either --close, abort, an error--> CLOSED
+
+A frozen transport neither reads nor writes, whatever its protocol asks; the bytes it then holds are the ones
+that another process goes on with. Closing it is closing one of two descriptors of the connection: nothing
+leaves for the peer as long as the other is open.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+HIGH_WATER = 64 * 1024  # bytes that wait for the peer, past which the protocol is told to pause
+
+
+class SocketTransport(asyncio.Transport):
+    """One connected socket and its protocol, which is a buffered or a plain one."""
+
+    def __init__(
+        self,
+        endpoint: socket.socket,
+        protocol: asyncio.BaseProtocol,
+        unsent: bytes = b"",
+        frozen: bool = False,
+    ) -> None:
+        """Begin to read at once, unless `frozen`. `unsent`: bytes that go out ahead of all others."""
+        extra = {"socket": endpoint, "peername": _name(endpoint.getpeername)}
+        super().__init__(extra | {"sockname": _name(endpoint.getsockname)})
+        endpoint.setblocking(False)
+        if endpoint.family in (socket.AF_INET, socket.AF_INET6):
+            endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._loop = asyncio.get_running_loop()
+        self._socket, self._descriptor = endpoint, endpoint.fileno()
+        self._protocol = protocol
+        self._buffer = bytearray(unsent)
+        self._high, self._low = HIGH_WATER, HIGH_WATER // 4
+        self._is_full = False  # the protocol was told to pause
+        self._is_writing = False  # the loop looks for room
+        self._is_reading = True  # as far as the protocol wishes
+        self._is_frozen = frozen
+        self._is_closing = self._is_lost = self._is_ended = False
+        protocol.connection_made(self)
+        self._set_reader()
+        self._set_writer()
+
+    @property
+    def is_frozen(self) -> bool:
+        """Whether it neither reads nor writes for now."""
+        return self._is_frozen
+
+    def freeze(self) -> bytes:
+        """Neither read nor write until `thaw`; return the bytes that the system has not taken."""
+        self._is_frozen = True
+        self._set_reader()
+        self._set_writer()
+        return bytes(self._buffer)
+
+    def thaw(self) -> None:
+        """Go on where `freeze` stopped."""
+        self._is_frozen = False
+        self._set_reader()
+        self._set_writer()
+
+    def get_protocol(self) -> asyncio.BaseProtocol:
+        return self._protocol
+
+    def is_closing(self) -> bool:
+        return self._is_closing
+
+    def is_reading(self) -> bool:
+        return self._is_reading and not self._is_closing
+
+    def pause_reading(self) -> None:
+        self._is_reading = False
+        self._set_reader()
+
+    def resume_reading(self) -> None:
+        self._is_reading = True
+        self._set_reader()
+
+    def _set_reader(self) -> None:
+        if self._is_lost:
+            return
+        if self._is_reading and not (self._is_frozen or self._is_closing):
+            self._loop.add_reader(self._descriptor, self._read_ready)
+        else:
+            self._loop.remove_reader(self._descriptor)
+
+    def _set_writer(self) -> None:
+        """Have the loop look for room while bytes wait."""
+        wanted = bool(self._buffer) and not (self._is_frozen or self._is_lost)
+        if wanted and not self._is_writing:
+            self._loop.add_writer(self._descriptor, self._write_ready)
+        elif self._is_writing and not wanted:
+            self._loop.remove_writer(self._descriptor)
+        self._is_writing = wanted
+
+    def _read_ready(self) -> None:
+        if self._is_lost:
+            return
+        try:
+            count = self._read()
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self._lose(error)
+            return
+        except Exception as error:
+            self._fail(error)
+            return
+        if not count:
+            self._read_end()
+
+    def _read(self) -> int:
+        protocol = self._protocol
+        if isinstance(protocol, asyncio.BufferedProtocol):
+            count = self._socket.recv_into(protocol.get_buffer(-1))
+            if count:
+                protocol.buffer_updated(count)
+            return count
+        assert isinstance(protocol, asyncio.Protocol)
+        data = self._socket.recv(HIGH_WATER)
+        if data:
+            protocol.data_received(data)
+        return len(data)
+
+    def _read_end(self) -> None:
+        protocol = self._protocol
+        assert isinstance(protocol, asyncio.BufferedProtocol | asyncio.Protocol)
+        if protocol.eof_received():
+            self._loop.remove_reader(self._descriptor)
+        else:
+            self.close()
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        if self._is_ended:
+            raise RuntimeError("nothing may be written behind the end")
+        if not data or self._is_lost:
+            return
+        if not (self._buffer or self._is_frozen):
+            try:
+                sent = self._socket.send(data)
+            except (BlockingIOError, InterruptedError):
+                sent = 0
+            except OSError as error:
+                self._lose(error)
+                return
+            if sent == len(data):
+                return
+            data = memoryview(data)[sent:]
+        self._buffer += data
+        self._set_writer()
+        if len(self._buffer) > self._high and not self._is_full:
+            self._is_full = True
+            self._protocol.pause_writing()
+
+    def _write_ready(self) -> None:
+        if self._is_lost or self._is_frozen:
+            return
+        try:
+            sent = self._socket.send(self._buffer)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self._lose(error)
+            return
+        del self._buffer[:sent]
+        if self._is_full and len(self._buffer) <= self._low:
+            self._is_full = False
+            self._protocol.resume_writing()
+        if self._buffer:
+            return
+        self._set_writer()
+        if self._is_closing:
+            self._end(None)
+        elif self._is_ended:
+            self._shut_down()
+
+    def write_eof(self) -> None:
+        if self._is_closing or self._is_ended:
+            return
+        self._is_ended = True
+        if not self._buffer:
+            self._shut_down()
+
+    def _shut_down(self) -> None:
+        if not self._is_frozen:
+            self._socket.shutdown(socket.SHUT_WR)
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def get_write_buffer_size(self) -> int:
+        return len(self._buffer)
+
+    def get_write_buffer_limits(self) -> tuple[int, int]:
+        return self._low, self._high
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        if high is None:
+            high = HIGH_WATER if low is None else 4 * low
+        self._high = high
+        self._low = high // 4 if low is None else low
+
+    def close(self) -> None:
+        if self._is_closing:
+            return
+        self._is_closing = True
+        self._set_reader()
+        if not self._buffer:
+            self._end(None)
+
+    def abort(self) -> None:
+        self._lose(None)
+
+    def _lose(self, error: Exception | None) -> None:
+        """Close now, without what has not gone out."""
+        if self._is_lost:
+            return
+        self._buffer.clear()
+        self._set_writer()
+        self._is_closing = True
+        self._set_reader()
+        self._end(error)
+
+    def _fail(self, error: Exception) -> None:
+        """Its protocol is at fault: say so, and close."""
+        self._loop.call_exception_handler(
+            {"message": "failed on what was read", "exception": error, "transport": self}
+        )
+        self._lose(error)
+
+    def _end(self, error: Exception | None) -> None:
+        if self._is_lost:
+            return
+        self._is_lost = True
+        self._loop.call_soon(self._connection_lost, error)
+
+    def _connection_lost(self, error: Exception | None) -> None:
+        try:
+            self._protocol.connection_lost(error)
+        finally:
+            self._socket.close()
+
+
+def _name(ask: Callable[[], Any]) -> Any:
+    """What a socket says of an end; None if it does not, as its peer has gone."""
+    try:
+        return ask()
+    except OSError:
+        return None
