Make the tests of connections over upgrades wait for the end of the older process

Cause: with a body of 256 KB and what is left written within 2.7 s, uploads ended in their process's life and passed on the code as it is. The rest is written once the older process has ended, or takes longer than it lives.

--- a/tests/handover/test_connections.py
+++ b/tests/handover/test_connections.py
@@ -121,18 +121,19 @@
     async with _fleet(tmp_path, says(body=b"ordered")) as fleet:
         client = await Client.connect(fleet.port)
         assert (await client.ask()).status == 200
-        parts = _order(chunked)
+        body = BODY * 2  # at the rate below for some 4 s, and more than its process lives
+        parts = _order(chunked, body)
         text, begun = b"".join(parts), sum(map(len, parts[:7])) + cut
         client.writer.write(text[:begun])
         await until(lambda: fleet.host.taken > begun - PART)
         await fleet.upgrade()
         rest = text[begun:]
-        await _write(client, [rest[place : place + PART] for place in range(0, len(rest), PART)], 60_000.0)
+        await _write(client, [rest[place : place + PART] for place in range(0, len(rest), PART)], 90_000.0)
         answer = await client.answer()
         await fleet.over()
         assert (answer.status, answer.body) == (200, b"ordered")
         orders = [request for request in fleet.host.requests if request.method == b"POST"]
-        assert [request.body for request in orders] == [BODY]
+        assert [request.body for request in orders] == [body]
 
 
 @scenario
@@ -171,7 +172,7 @@
         client.writer.write(text[:begun])
         await asyncio.sleep(0.1)
         await fleet.upgrade()
-        await asyncio.sleep(0.3)
+        await fleet.over()
         client.writer.write(text[begun:])
         assert (await client.answer()).status == 200
         await fleet.over()
@@ -184,7 +185,7 @@
         client, parts = await Client.connect(fleet.port), _order(chunked=True, body=BODY[:50_000])
         await _write(client, parts[:2])
         await fleet.upgrade()
-        await asyncio.sleep(0.3)
+        await fleet.over()
         await _write(client, parts[2:])
         assert (await client.answer()).status == 200
         await fleet.over()
@@ -202,6 +203,7 @@
         client, parts = await Client.connect(fleet.port), _order()
         await _write(client, parts[:5])
         await fleet.upgrade()
+        await fleet.over()
         await _write(client, parts[5:])
         assert (await client.answer()).status in (502, 504)
         assert len(fleet.host.requests) == 1
@@ -216,6 +218,7 @@
         client, parts = await Client.connect(fleet.port), _order()
         await _write(client, parts[:5])
         await fleet.upgrade()
+        await fleet.over()
         await _write(client, parts[5:])
         assert (await client.answer()).status in (502, 504)
         assert len(fleet.host.requests) == 1, "it is not sent again"
@@ -227,6 +230,7 @@
         client, parts = await Client.connect(fleet.port), _order()
         await _write(client, parts[:5])
         await fleet.upgrade()
+        await fleet.over()
         await _write(client, parts[5:7])
         client.close()
         await until(lambda: fleet.host.closed)
