--- a/tests/streaming/test_flow.py
+++ b/tests/streaming/test_flow.py
@@ -169,6 +169,17 @@
         assert not flow.overdue(now)
 
 
+def test_a_sink_that_has_left_leaves_none_of_its_time_to_the_source() -> None:
+    """Found by the orders above: the source was found by the time of a sink that had taken something."""
+    ends, flow = _full()
+    flow.put(bytes(READ), 0.0)
+    ends.read += 64_000
+    assert not flow.overdue(TAKES + 1)
+    ends.full = False
+    flow.detach(TAKES + 1)
+    assert flow.overdue(TAKES + 1 + STALL + GRACE)
+
+
 def test_a_trickle_earns_no_more_than_its_bytes() -> None:
     """64 kB a second goes on for ever; a byte a second is found in little more than the grace."""
     steady, trickle = (Flow(_Ends(), None, 0.0, GRACE, 32_000.0) for _ in range(2))
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -17,8 +17,8 @@
 )  # fmt: skip
 from whinrouter.interface import (
     SECOND, Action, Attempt, AttemptEnded, BodyReceived, Cancel, Effect, Event, Fail, Outcome, Pending,
-    Refuse, Request, RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId, ServerList,
-    SetTimer, Settings, State, StreamStarted, Subscribe, TimerFired, Update,
+    Refuse, Request, RequestAdopted, RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId,
+    ServerList, SetTimer, Settings, State, StreamStarted, Subscribe, TimerFired, Update,
 )  # fmt: skip
 from whinrouter.learnt import Learnt, age_of, moment_of
 from whinrouter.shedding import Shedding
@@ -104,6 +104,8 @@
             return self._on_stream(event, now)
         if isinstance(event, BodyReceived):
             return self._on_body(event, now)
+        if isinstance(event, RequestAdopted):
+            return self._on_adopted(event, now)
         pending = self._pending.get(event.request) if isinstance(event, RequestGone) else None
         return self._settle(pending) if pending else []
 
@@ -260,6 +262,19 @@
             return self._answer(pending)
         return self._advance(pending, now)
 
+    def _on_adopted(self, event: RequestAdopted, now: int) -> list[Action]:
+        """A request of another balancer's, whose server has a part of its body: only its end is decided."""
+        known = self._classes.get(event.class_name)
+        aim = known.aim if known is not None else event.timeout
+        kind = RequestClass(event.class_name, aim, event.timeout, Effect.AT_MOST_ONCE)
+        request = Request(event.id, event.class_name, event.timeout, streams=True)
+        pending = Pending(request, kind, now, now + event.timeout, most=1, spent=True, body_to_come=True)
+        host = self._hosts.get(event.server)
+        info = host.info if host is not None else Server(event.server, State.DRAINING)
+        pending.attempts.append(Attempt(info, now, judged=True, awaits_body=True))
+        self._pending[event.id] = pending
+        return []
+
     def _too_late(self, event: Request, kind: RequestClass) -> bool:
         """Whether a client's retry comes after the aim; under overload it keeps what is in time waiting."""
         if not event.retry:
--- a/whinrouter/handover/passing.py
+++ b/whinrouter/handover/passing.py
@@ -1,18 +1,20 @@
-"""Long answers that go on in the next process: two open sockets and what is still to come.
+"""Clients' connections that go on in the next process: sockets, framing, and bytes on their way.
 
-Theory of operation. A process that is replaced may be ended before its hosts have given the whole of the
-answers that it passes on. It hands each of them over on a socket of its own (`SOCK_SEQPACKET`, beside the
-line of `channel.py`): one message, with the client's and the host's descriptors (SCM_RIGHTS).
+Theory of operation. A process that is replaced hands over each client connection that it need not end itself
+(`net/connection_state.py`), on a socket of its own (`SOCK_SEQPACKET`, beside the line of `channel.py`): one
+message in packets, the first with the descriptors (SCM_RIGHTS) of the client and, where a body is on its way
+between the two, of the host.
 
-    older:  PASSING --stop reading the host, let the client's bytes go out--> QUIET
-            QUIET --the message, with both descriptors--> OFFERED
+    older:  GOING ON --freeze: neither read nor write--> FROZEN --message and descriptors--> OFFERED
             OFFERED --"held" comes--> let go: close both, without a word to either peer
-            OFFERED --anything else, or nothing in time--> go on as before
-    newer:  the message --both are read and written here--> "held", and from then on it is its own
-
-Either may be killed at any step: before "held" has been said nobody else has read or written, and after it
-the newer process has both. An answer that is not quiet in time, or whose framing can't be told in the middle
-(`ResponseReader.remainder`), stays where it is until the process ends.
+            OFFERED --anything else, or nothing in time--> thaw, and go on as before
+    newer:  the message --all is set up, frozen--> "held", and from then on it is its own --thaw--> GOING ON
+
+Nothing is read or written between FROZEN and the end of OFFERED, so that what the message tells stays true.
+Either may be killed at any step: until "held" is said the older one has the connection, and from then on the
+newer one. An older process that waits no longer shuts its end for "held" first, and looks once more whether
+it has come: then it can't be said any more, and both agree. A connection whose framing can't be told now is
+looked at again; one that never can be stays where it is until the process ends.
 """
 
 from __future__ import annotations
@@ -22,59 +24,103 @@
 import logging
 import os
 import socket
+import struct
 from collections.abc import Callable, Coroutine, Iterator
 from pathlib import Path
 from typing import Any, Protocol
 
 import msgspec
 
+from whinrouter.handover.relayed import RelayedAnswer
 from whinrouter.net.connect import LISTEN_PAUSES, with_retries
-from whinrouter.net.http import LAST_CHUNK, chunk
-from whinrouter.net.sockets import acknowledged, reset
-from whinrouter.streaming.flow import STALL, TAKES, Flow
-from whinrouter.streaming.remainder import BrokenRemainderError, Remainder, RemainderReader
+from whinrouter.streaming.remainder import Remainder
 
 log = logging.getLogger(__name__)
 
-MOST_MESSAGE = 4096  # bytes of one message
+# Bytes of a message: what may be buffered of one connection, for its client and for its host, and its head.
+MOST_MESSAGE = 512 * 1024
+PACKET = 32 * 1024  # bytes of one packet
+MOST_DESCRIPTORS = 2  # in one message
 MOST_PASSED = 256  # answers that a process goes on with
 HELD = b"held"
 ANSWER_TIME = 1.0  # seconds within which the newer process says that it holds both
-QUIET_TIME = 3.0  # seconds within which the client's bytes have to go out
+LOOK_TIME = 3.0  # seconds within which the framing has to be such that it can be told
 LOOK_EVERY = 0.005
 SWEEP_EVERY = 0.25
-LINGER = 0.5  # seconds for which a client may take to see the end of its answer
+_LENGTH = struct.Struct(">I")
 
 
-class PassedAnswer(msgspec.Struct, frozen=True, array_like=True):
-    """One answer that is under way."""
+class PassedAnswer(msgspec.Struct, frozen=True, array_like=True, tag="answer"):
+    """An answer that is under way: the client's and the host's sockets."""
 
     remainder: Remainder
     length: int | None  # bytes of the whole body, as its client was told
     chunked: bool  # its client has it in chunks
+    to_client: bytes = b""  # ready to be written
+
+
+class PassedClient(msgspec.Struct, frozen=True, array_like=True, tag="client"):
+    """A client's connection between requests, or within one of which nothing was sent on: its socket."""
+
+    incoming: bytes  # read, and not used
+    to_client: bytes  # ready to be written
+    closes: bool  # it ends behind them
+
 
+class PassedUpload(msgspec.Struct, frozen=True, array_like=True, tag="upload"):
+    """A request whose body is on its way to the host that has a part of it: both sockets."""
 
-class PassableAnswer(Protocol):
-    """An answer that is passed on here, as far as handing it over needs to know."""
+    remainder: Remainder  # of the body, as its client sends it
+    received: int  # bytes of it that have come
+    length: int | None  # of the whole body, as it was told
+    closes: bool  # the connection ends behind the answer
+    name: str
+    class_name: str
+    patience: int  # microseconds that its client waits from the end of the body
+    server: int
+    to_client: bytes
+    to_host: bytes
 
-    def pause(self) -> PassedAnswer | None:
-        """Read no more of it; None if it can't be told now what is to come, and it goes on."""
 
-    def is_quiet(self) -> bool:
-        """Whether all that was read has gone out to its client."""
+PassedMessage = PassedAnswer | PassedClient | PassedUpload
+_decoder: msgspec.msgpack.Decoder[PassedMessage] = msgspec.msgpack.Decoder(PassedMessage)
+
+
+class PassableConnection(Protocol):
+    """A connection here, as far as handing it over needs to know."""
+
+    def pause(self) -> PassedMessage | None:
+        """Freeze it; None if it can't be told now what is to come, and it goes on."""
 
     @property
     def is_over(self) -> bool:
-        """Whether it ended, or its client left."""
+        """Whether it ended, or is in the middle of something else by now."""
 
-    def descriptors(self) -> tuple[int, int]:
-        """The client's and the host's."""
+    def descriptors(self) -> tuple[int, ...]:
+        """The client's and, if there is one, the host's."""
 
     def resume(self) -> None:
         """It stays here: go on."""
 
     def let_go(self) -> None:
-        """Another process holds both: close them here, without a word to either peer."""
+        """Another process holds it: close it here, without a word to either peer."""
+
+
+class AdoptedConnection(Protocol):
+    """A connection of another process that is set up here, and frozen."""
+
+    def begin(self) -> None:
+        """It is ours alone: go on."""
+
+    def abandon(self) -> None:
+        """It stays with the other process."""
+
+
+Adopt = Callable[[PassedClient | PassedUpload, list[socket.socket]], AdoptedConnection]
+
+
+class NoRoomError(Exception):
+    """There is no place for another connection here."""
 
 
 @contextlib.contextmanager
@@ -87,62 +133,83 @@
         os.close(folder)
 
 
+def packets(message: PassedMessage) -> list[bytes]:
+    """A message as it is sent: its length, and its text in parts."""
+    text = msgspec.msgpack.encode(message)
+    whole = _LENGTH.pack(len(text)) + text
+    return [whole[place : place + PACKET] for place in range(0, len(whole), PACKET)]
+
+
 class Offering:
     """The older process's side."""
 
     def __init__(self, path: Path) -> None:
         self._path = path
 
-    async def hand_over(self, answer: PassableAnswer) -> bool:
-        """Whether an answer is the newer process's now; if not it goes on here, unless it is over."""
-        message = await self._quiet(answer)
+    async def hand_over(self, connection: PassableConnection) -> bool:
+        """Whether it is the newer process's now; if not it goes on here, unless it is over."""
+        message = await self._paused(connection)
         if message is None:
             return False
         try:
-            is_held = await self._offer(answer, message)
+            is_held = await self._offer(connection, message)
         except (OSError, TimeoutError) as error:
-            log.warning("handover: an answer can't be passed on: %s", error or "no word in time")
+            log.warning("handover: a connection can't be passed on: %s", error or "no word in time")
             is_held = False
-        if answer.is_over:
-            return False
         if is_held:
-            answer.let_go()
+            connection.let_go()
         else:
-            answer.resume()
+            connection.resume()
         return is_held
 
-    async def _quiet(self, answer: PassableAnswer) -> PassedAnswer | None:
+    async def _paused(self, connection: PassableConnection) -> PassedMessage | None:
         loop = asyncio.get_running_loop()
-        ends = loop.time() + QUIET_TIME
-        message = answer.pause()
-        while not answer.is_over and loop.time() < ends:
-            message = message or answer.pause()
-            if message is not None and answer.is_quiet():
+        ends = loop.time() + LOOK_TIME
+        while not connection.is_over and loop.time() < ends:
+            message = connection.pause()
+            if message is not None:
                 return message
             await asyncio.sleep(LOOK_EVERY)
-        if not answer.is_over and message is not None:
-            answer.resume()
         return None
 
-    async def _offer(self, answer: PassableAnswer, message: PassedAnswer) -> bool:
-        loop = asyncio.get_running_loop()
+    async def _offer(self, connection: PassableConnection, message: PassedMessage) -> bool:
         with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as endpoint:
             endpoint.setblocking(False)
             with _short(self._path) as short:
                 endpoint.connect(short)
-            socket.send_fds(endpoint, [msgspec.msgpack.encode(message)], list(answer.descriptors()))
-            async with asyncio.timeout(ANSWER_TIME):
-                return await loop.sock_recv(endpoint, len(HELD)) == HELD
+            first, *others = packets(message)
+            socket.send_fds(endpoint, [first], list(connection.descriptors()))
+            try:
+                async with asyncio.timeout(ANSWER_TIME):
+                    return await self._said_held(endpoint, others)
+            except TimeoutError:
+                return _said_in_time(endpoint)
+
+    async def _said_held(self, endpoint: socket.socket, others: list[bytes]) -> bool:
+        loop = asyncio.get_running_loop()
+        for packet in others:
+            await loop.sock_sendall(endpoint, packet)
+        return await loop.sock_recv(endpoint, len(HELD)) == HELD
+
+
+def _said_in_time(endpoint: socket.socket) -> bool:
+    """Whether "held" has come after all; from now on it can't."""
+    endpoint.shutdown(socket.SHUT_RD)
+    try:
+        return endpoint.recv(len(HELD)) == HELD
+    except BlockingIOError:
+        return False
 
 
 class Taking:
     """The newer process's side: it goes on with what older ones began."""
 
-    def __init__(self, path: Path, now: Callable[[], float]) -> None:
-        self._path, self._now = path, now
+    def __init__(self, path: Path, now: Callable[[], float], adopt: Adopt | None = None) -> None:
+        """`adopt`: sets up whatever is no answer; None: such connections are not taken."""
+        self._path, self._now, self._adopt = path, now, adopt
         self._listener: socket.socket | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self.answers: set[_GoingOn] = set()
+        self.answers: set[RelayedAnswer] = set()
 
     async def open(self) -> None:
         """Be the one at the path."""
@@ -150,7 +217,7 @@
         try:
             await with_retries(self._listen, LISTEN_PAUSES)
         except OSError as error:
-            log.warning("handover: no answer can be passed on here (%s)", error)
+            log.warning("handover: no connection can be passed on here (%s)", error)
 
     async def _listen(self) -> None:
         fresh = self._path.with_name(f"{self._path.name}.{os.getpid()}")
@@ -204,36 +271,70 @@
             try:
                 async with asyncio.timeout(ANSWER_TIME):
                     await self._receive(endpoint)
-            except (OSError, TimeoutError, msgspec.DecodeError) as error:
-                log.warning("handover: an answer was not taken: %s", error)
+            except (OSError, TimeoutError, msgspec.DecodeError, NoRoomError) as error:
+                log.warning("handover: a connection was not taken: %s", error or "no whole message in time")
 
     async def _receive(self, endpoint: socket.socket) -> None:
-        data, descriptors = await self._message(endpoint)
         with contextlib.ExitStack() as undo:
-            sockets = [socket.socket(fileno=descriptor) for descriptor in descriptors]
-            for one in sockets:
-                undo.callback(one.close)
-            if len(sockets) != 2 or len(self.answers) >= MOST_PASSED:
-                raise OSError("no place for it, or not two sockets")
-            message: PassedAnswer = msgspec.msgpack.decode(data, type=PassedAnswer)
-            answer = _GoingOn(message, self._now, self.answers.discard)
-            await answer.connect(*sockets)
-            undo.pop_all()
-        endpoint.send(HELD)
+            text, sockets = await self._message(endpoint, undo)
+            message = _decoder.decode(text)
+            if len(sockets) != (1 if isinstance(message, PassedClient) else MOST_DESCRIPTORS):
+                raise OSError("another number of sockets")
+            adopted = self._set_up(message, sockets)
+            undo.pop_all()  # they are the transports' now
+        try:
+            endpoint.send(HELD)
+        except OSError:  # the older process waits no longer, and goes on with it
+            adopted.abandon()
+            raise
+        adopted.begin()
+
+    def _set_up(self, message: PassedMessage, sockets: list[socket.socket]) -> AdoptedConnection:
+        if not isinstance(message, PassedAnswer):
+            if self._adopt is None:
+                raise NoRoomError("only answers are taken here")
+            return self._adopt(message, sockets)
+        if len(self.answers) >= MOST_PASSED:
+            raise NoRoomError("no place for another answer")
+        answer = RelayedAnswer(
+            message.remainder, message.length, message.chunked, self._now, self.answers.discard
+        )
+        client, host = sockets
+        answer.connect(client, host, message.to_client)
         self.answers.add(answer)
-        answer.begin()
-        log.info("handover: going on with an answer, %s", message.remainder)
-
-    async def _message(self, endpoint: socket.socket) -> tuple[bytes, list[int]]:
+        return answer
+
+    async def _message(
+        self, endpoint: socket.socket, undo: contextlib.ExitStack
+    ) -> tuple[bytes, list[socket.socket]]:
+        """The text of a message and the sockets that came with it, which `undo` closes."""
+        data, descriptors = await self._packet(endpoint, MOST_DESCRIPTORS)
+        sockets = [socket.socket(fileno=descriptor) for descriptor in descriptors]
+        for one in sockets:
+            undo.callback(one.close)
+        if len(data) < _LENGTH.size:
+            raise OSError("it ended before its message")
+        (length,) = _LENGTH.unpack_from(data)
+        if length > MOST_MESSAGE:
+            raise OSError("the message is too large")
+        text = bytearray(data[_LENGTH.size :])
+        while len(text) < length:
+            more, _ = await self._packet(endpoint, 0)
+            if not more:
+                raise OSError("it ended within its message")
+            text += more
+        return bytes(text), sockets
+
+    async def _packet(self, endpoint: socket.socket, descriptors: int) -> tuple[bytes, list[int]]:
         while True:
             try:
-                data, descriptors, _, _ = socket.recv_fds(endpoint, MOST_MESSAGE, 2)
-                return data, descriptors
+                data, received, _, _ = socket.recv_fds(endpoint, PACKET, descriptors)
+                return data, received
             except BlockingIOError:
                 await asyncio.sleep(LOOK_EVERY)
 
     async def until_done(self) -> None:
-        """Wait for all that was taken."""
+        """Wait for all answers that were taken."""
         while self.answers:
             await asyncio.sleep(0.01)
 
@@ -242,152 +343,3 @@
         self.close()
         for task in self._tasks:
             task.cancel()
-
-
-class _GoingOn:
-    """One answer whose sockets came from another process: a flow between two protocols."""
-
-    def __init__(
-        self, message: PassedAnswer, now: Callable[[], float], done: Callable[[_GoingOn], None]
-    ) -> None:
-        self._message, self.now, self._done = message, now, done
-        self._reader = RemainderReader(message.remainder)
-        self._client = _ClientEnd(self)
-        self._host = _HostEnd(self)
-        self.flow = Flow(self._host, message.length, now(), STALL, 0.0)
-
-    async def connect(self, client: socket.socket, host: socket.socket) -> None:
-        """Have both read and written by this loop, though nothing is read yet."""
-        loop = asyncio.get_running_loop()
-        client.setblocking(False)
-        host.setblocking(False)
-        await loop.connect_accepted_socket(lambda: self._host, host)
-        self._host.hold()
-        await loop.connect_accepted_socket(lambda: self._client, client)
-
-    def begin(self) -> None:
-        """Both are ours alone."""
-        self.flow.attach(self._client, self.now())
-        self._host.go_on()
-
-    def write(self, transport: asyncio.Transport, data: bytes) -> None:
-        transport.write(chunk(data) if self._message.chunked else data)
-
-    def came(self, data: bytes) -> None:
-        """The host gave more of it."""
-        try:
-            body = self._reader.feed(data)
-        except BrokenRemainderError as error:
-            log.warning("a host's answer is of no use: %s", error)
-            self.flow.fail()
-            return
-        if body:
-            self.flow.put(body, self.now())
-        if self._reader.is_whole:
-            self.flow.end()
-
-    def host_ended(self, by_reset: bool) -> None:
-        if not self._reader.is_whole:
-            if not by_reset and self._reader.end():
-                self.flow.end()
-            else:
-                self.flow.fail()
-
-    def whole(self, transport: asyncio.Transport) -> None:
-        """Its client has all of it: the connection ends behind it."""
-        if self._message.chunked:
-            transport.write(LAST_CHUNK)
-        transport.write_eof()
-        self._wait_for_reader(transport, self.now() + TAKES, self._client.taken())
-
-    def _wait_for_reader(self, transport: asyncio.Transport, ends: float, taken: int) -> None:
-        """End once the last byte has gone out; a slow reader has time for as long as it reads."""
-        loop, latest = asyncio.get_running_loop(), self._client.taken()
-        if latest > taken:
-            ends = self.now() + TAKES
-        if transport.get_write_buffer_size() == 0 or self.now() >= ends:
-            loop.call_later(LINGER, self.end)
-        else:
-            loop.call_later(SWEEP_EVERY, self._wait_for_reader, transport, ends, latest)
-
-    def end(self) -> None:
-        self._host.drop()
-        self._client.drop()
-        self._done(self)
-
-    def end_if_stuck(self, now: float) -> None:
-        if self.flow.overdue(now):
-            log.warning("a body that was passed on is not moved any more: %s", self.flow)
-            self._client.cut()
-
-
-class _End(asyncio.Protocol):
-    def __init__(self, answer: _GoingOn) -> None:
-        self._answer = answer
-        self.transport: asyncio.Transport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-
-    def drop(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
-
-
-class _HostEnd(_End):
-    """Where the answer comes from."""
-
-    def data_received(self, data: bytes) -> None:
-        self._answer.came(data)
-
-    def eof_received(self) -> None:
-        self._answer.host_ended(by_reset=False)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._answer.host_ended(by_reset=exc is not None)
-
-    def hold(self) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
-
-    def go_on(self) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
-
-    def unwanted(self) -> None:
-        self.drop()
-
-
-class _ClientEnd(_End):
-    """Where it goes. What the client sends behind its request is not read: the connection ends."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        transport.set_write_buffer_limits(high=64 * 1024)  # type: ignore[attr-defined]
-
-    def take(self, data: bytes) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self._answer.write(self.transport, data)
-
-    def took_all(self) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self._answer.whole(self.transport)
-
-    def cut(self) -> None:
-        if self.transport is not None:
-            reset(self.transport)
-        self._answer.end()
-
-    def taken(self) -> int:
-        return acknowledged(self.transport) if self.transport is not None else -1
-
-    def pause_writing(self) -> None:
-        self._answer.flow.full(self._answer.now())
-
-    def resume_writing(self) -> None:
-        self._answer.flow.room(self._answer.now())
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._answer.flow.cancel()
-        self._answer.end()
--- a/whinrouter/handover/succession.py
+++ b/whinrouter/handover/succession.py
@@ -27,10 +27,11 @@
 from typing import Any
 
 from whinrouter.control.calls import RefusedError
-from whinrouter.handover.answers import AnswerUnderWay
 from whinrouter.handover.channel import MOST_LINES, TAKE_TIME, Peer, Post, call
+from whinrouter.handover.connections import PASSABLE, ConnectionUnderWay, RelayUnderWay, adopter
 from whinrouter.handover.line import Step
-from whinrouter.handover.passing import Offering, Taking
+from whinrouter.handover.passing import Offering, PassableConnection, Taking
+from whinrouter.handover.relayed import RelayedAnswer
 from whinrouter.handover.words import (
     Called,
     Hello,
@@ -52,7 +53,9 @@
 log = logging.getLogger(__name__)
 
 PART = 0.5  # of the limits on hosts, for the newer process while both serve
-PASS_EVERY = 0.05  # seconds between looks for answers to hand over
+PASS_EVERY = 0.05  # seconds between looks for connections to hand over
+PASS_AGAIN = 0.3  # seconds before one that was not taken is offered again
+PASSED_AT_ONCE = 32  # connections that are being offered at a time; each has a socket of its own meanwhile
 TELL_EVERY = 0.2  # seconds between what an older process says of its descriptors
 
 
@@ -102,7 +105,7 @@
     _tasks: set[asyncio.Task[object]] = field(default_factory=set)
     _held: int = 0  # descriptors that are the older one's still
     _taking: Taking | None = None  # answers that older processes began
-    _passing: set[ClientConnection] = field(default_factory=set)
+    _passing: set[ClientConnection | RelayedAnswer] = field(default_factory=set)
 
     async def take(self) -> Snapshot | None:
         """Ask the older process, if there is one, and go on from what it knows."""
@@ -150,7 +153,8 @@
         """This process serves: it is the one that the next asks."""
         self._post = Post(self.path, self, self._admit)
         await self._post.open()
-        self._taking = Taking(self._answers_path, asyncio.get_running_loop().time)
+        adopt = adopter(self.frontend, self.upstream)
+        self._taking = Taking(self._answers_path, asyncio.get_running_loop().time, adopt)
         await self._taking.open()
         if self.older is not None:
             self.older.line.ready()
@@ -180,22 +184,32 @@
                 async with asyncio.timeout(seconds):
                     await self._taking.until_done()
 
-    async def _pass_answers(self, line: Peer) -> None:
-        """Hand over what is passed on here, and may take longer than this process lives."""
+    async def _pass_connections(self, line: Peer) -> None:
+        """Hand over each connection that another process can go on with, as soon as it can be."""
         while line.line.step is Step.BESIDE:
-            for client in self.frontend.streaming - self._passing:
-                if client.passed_on is not None:
-                    self._passing.add(client)
-                    self._start(self._pass_answer(client))
+            for client in list(self.frontend.connections):
+                if client not in self._passing and client.state in PASSABLE:
+                    self._pass(ConnectionUnderWay(self.frontend, client), client)
+            for answer in list(self._taking.answers) if self._taking is not None else ():
+                if answer not in self._passing:
+                    self._pass(RelayUnderWay(answer), answer)
             await asyncio.sleep(PASS_EVERY)
 
-    async def _pass_answer(self, client: ClientConnection) -> None:
-        answer = AnswerUnderWay(client, asyncio.get_running_loop().time)
+    def _pass(self, connection: PassableConnection, passing: ClientConnection | RelayedAnswer) -> None:
+        if len(self._passing) < PASSED_AT_ONCE:
+            self._passing.add(passing)
+            self._start(self._pass_on(connection, passing))
+
+    async def _pass_on(
+        self, connection: PassableConnection, passing: ClientConnection | RelayedAnswer
+    ) -> None:
         try:
-            if await Offering(self._answers_path).hand_over(answer):
-                self.gateway.note(EventKind.TAKEN_OVER, "an answer is passed on to the newer process")
+            if await Offering(self._answers_path).hand_over(connection):
+                self.gateway.note(EventKind.TAKEN_OVER, "a connection is passed on to the newer process")
+            else:
+                await asyncio.sleep(PASS_AGAIN)
         finally:
-            self._passing.discard(client)
+            self._passing.discard(passing)
 
     def share(self, name: str, word: str, but: Peer | None = None) -> None:
         """Tell the others what was called here, or at `but`."""
@@ -277,7 +291,7 @@
             self._taking.close()
         await self.frontend.listener.accept_rest()
         self.frontend.close_listener()
-        self._start(self._pass_answers(line))
+        self._start(self._pass_connections(line))
         while line.line.step is Step.BESIDE:
             line.say(Holding(len(self.frontend.connections) + self.upstream.open + self._held))
             await asyncio.sleep(TELL_EVERY)
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -187,6 +187,18 @@
     latency: int
 
 
+class RequestAdopted(NamedTuple):
+    """Another balancer's request goes on here: its one attempt is out, its body still comes.
+
+    It is never sent again, and refused only once that attempt is known not to have run.
+    """
+
+    id: RequestId
+    class_name: str
+    timeout: int  # the client leaves this long after its body is whole
+    server: ServerId
+
+
 class BodyReceived(NamedTuple):
     """The body of a request that `streams` is here as a whole: its time and its servers' work begin."""
 
@@ -231,7 +243,15 @@
 
 
 Event = (
-    ServerList | Request | BodyReceived | StreamStarted | AttemptEnded | RequestGone | ProbeEnded | TimerFired
+    ServerList
+    | Request
+    | RequestAdopted
+    | BodyReceived
+    | StreamStarted
+    | AttemptEnded
+    | RequestGone
+    | ProbeEnded
+    | TimerFired
 )
 
 # Actions
--- a/whinrouter/invariants/lifecycle.py
+++ b/whinrouter/invariants/lifecycle.py
@@ -107,6 +107,21 @@
         self.ring.record(now, EventKind.ADMITTED, request, 0, name)
         return RequestLife(request, self._classes.get(class_name), deadline)
 
+    def adopt(
+        self, request: int, class_name: str, deadline: int, server: Server, now: int, name: str
+    ) -> RequestLife:
+        """Another process's request goes on here, with its one attempt out at this server."""
+        life = self.start(request, class_name, deadline, now, name)
+        life.state, life.sent = RequestState.SENT, 1
+        life.first_sent, life.first_server = now, server
+        self.ring.record(now, EventKind.TAKEN_OVER, request, 0, "its attempt is out")
+        return life
+
+    def pass_on(self, life: RequestLife, now: int) -> None:
+        """Another process goes on with it, and owes its answer."""
+        life.state = RequestState.GONE
+        self.ring.record(now, EventKind.GONE, life.request, 0, "another process goes on with it")
+
     def wait(self, life: RequestLife, attempt: int, now: int) -> None:
         """An attempt waits for a connection."""
         if life.state in FINAL_STATES:
--- a/whinrouter/net/attempt.py
+++ b/whinrouter/net/attempt.py
@@ -10,6 +10,7 @@
 from whinrouter.net.hosts import Member
 from whinrouter.net.http import Message, write_request
 from whinrouter.net.wheel import Timer
+from whinrouter.streaming.flow import Flow
 
 Ended = Callable[["Attempt", Outcome, Message | None], None]
 Began = Callable[["Attempt", Message], None]
@@ -27,6 +28,12 @@
     def drop(self) -> None:
         """Close it now."""
 
+    def resume(self, attempt: Attempt, body: Flow) -> None:
+        """Go on with an attempt of another process, whose body still comes."""
+
+    def let_go(self) -> None:
+        """Another process goes on with it: close it without a word."""
+
 
 class Target(Protocol):
     """The host that an attempt goes to."""
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -6,6 +6,7 @@
 import contextlib
 import logging
 import re
+import socket
 from collections import OrderedDict, deque
 from collections.abc import Callable, Coroutine
 from http import HTTPStatus
@@ -15,9 +16,11 @@
 
 from whinrouter.interface import SECOND, RequestId, Settings
 from whinrouter.invariants.lifecycle import CloseReason
+from whinrouter.net.attempt import Carrier, Target
 from whinrouter.net.connect import Listener
+from whinrouter.net.connection_state import ConnectionState
 from whinrouter.net.door import Door
-from whinrouter.net.gateway import MARGIN, Answer, Gateway
+from whinrouter.net.gateway import MARGIN, Answer, Gateway, PassedRequest
 from whinrouter.net.http import (
     LAST_CHUNK,
     MAX_LENGTH,
@@ -33,9 +36,11 @@
 from whinrouter.net.interpreter import RequestInterpreter
 from whinrouter.net.routes import Routes
 from whinrouter.net.sockets import acknowledged, age, end, left, reset, unread
+from whinrouter.net.transport import SocketTransport
 from whinrouter.operations.presence import Presence
 from whinrouter.ownlimit import OwnLimit
 from whinrouter.streaming.flow import FLOOR, GRACE, TAKES, Flow, RateFloor
+from whinrouter.streaming.remainder import Remainder
 
 log = logging.getLogger(__name__)
 
@@ -166,6 +171,17 @@
         self._advises, self.limit = settings.retry_after, limit
         self.own.retune(kind.aim / SECOND for kind in settings.classes)
 
+    @property
+    def has_room(self) -> bool:
+        """Whether a connection of another process may go on here, without one that makes room for it."""
+        return len(self.connections) < IDLE_PART * self.limit
+
+    def adopt(self, endpoint: socket.socket, unsent: bytes) -> ClientConnection:
+        """Go on with a connection of another process; it neither reads nor writes until it is thawed."""
+        client = ClientConnection(self)
+        SocketTransport(endpoint, client, unsent, frozen=True)
+        return client
+
     def close_listener(self) -> None:
         """Take no new connection."""
         if self.listener.descriptor is not None and self.door is not None:
@@ -324,10 +340,13 @@
         if self._deaf:
             self._drop_input(len(data))
             return
-        reader = self._requests
         came = self._came(data)
-        if came is None:
-            return
+        if came is not None:
+            self._read(data, came)
+
+    def _read(self, data: bytes | memoryview, came: float) -> None:
+        """Take bytes that were here at this loop time."""
+        reader = self._requests
         messages = reader.feed(data)
         for message in messages:
             message.came = came
@@ -453,20 +472,101 @@
     def taken(self) -> int:
         return acknowledged(self._transport) if self._transport is not None else -1
 
+    @property
+    def state(self) -> ConnectionState:
+        """What it is in the middle of."""
+        if self._transport is None or self._surplus or self._crowded or self._lingering:
+            return ConnectionState.ENDING
+        if self._out is not None:
+            return ConnectionState.ANSWERING if self._in is None else ConnectionState.WAITING
+        if self._busy:
+            return ConnectionState.UPLOADING if self._early else ConnectionState.WAITING
+        if self._queued or self._in is not None:
+            return ConnectionState.WAITING
+        if self._deaf or self._transport.is_closing():
+            return ConnectionState.FLUSHING if self.owed else ConnectionState.ENDING
+        return ConnectionState.RECEIVING if self._requests.began else ConnectionState.IDLE
+
+    @property
+    def request(self) -> RequestId | None:
+        """The one in work."""
+        return self._request
+
     @property
     def passed_on(self) -> Flow | None:
         """The body of the answer that is on its way."""
         return self._out
 
+    @property
+    def upload(self) -> Flow | None:
+        """The body of the request in work, while it comes."""
+        return self._own
+
     @property
     def chunked(self) -> bool:
-        """Whether that goes out in chunks."""
+        """Whether the answer that is on its way goes out in chunks."""
         return self._chunked
 
     @property
-    def sends_body(self) -> bool:
-        """Whether a body of the client's is still to come."""
-        return self._in is not None
+    def ends_with_answer(self) -> bool:
+        """Whether it closes behind the answer that is due."""
+        return self._close or not self._newer
+
+    @property
+    def input(self) -> RequestReader:
+        """The reader of what it sends."""
+        return self._requests
+
+    def freeze(self) -> bytes:
+        """Neither read nor write; the bytes that have not gone out."""
+        return self._transport.freeze() if isinstance(self._transport, SocketTransport) else b""
+
+    def thaw(self) -> None:
+        """Read and write again."""
+        if isinstance(self._transport, SocketTransport):
+            self._transport.thaw()
+
+    def abandon(self) -> None:
+        """It stays with the process that offered it: forget it, without a word to its client."""
+        self._deaf = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def take_up(self, incoming: bytes) -> None:
+        """Go on from these bytes, which another process read and has not used."""
+        self._silent = False
+        self._long = self.owed > 0  # a slow reader may take long over the last part of an answer
+        self.thaw()
+        if incoming:
+            self._read(incoming, self._loop.time())
+
+    def flush_and_close(self) -> None:
+        """Close once what another process left unsent has gone out."""
+        self._stop_reading()
+        self._wait(IDLE_TIME)
+        self._long = True  # the last part of an answer, which a slow reader may take long over
+        self.thaw()
+        if self._transport is not None:
+            self._transport.close()
+
+    def resume_upload(
+        self, passed: PassedRequest, remainder: Remainder, received: int, length: int | None, closes: bool
+    ) -> Flow:
+        """Be in the middle of a request that another process sent on; the flow that its rest goes into."""
+        self._silent, self._busy, self._close = False, True, closes
+        self._front.waiting.pop(self, None)
+        self._own = body = self._requests.resume(remainder, length, received)
+        self._begun = self._requests.count
+        self._id = passed.name
+        self._front.open_ids.add(passed.name)
+        return body
+
+    def resume_request(self, passed: PassedRequest, body: Flow, host: Target, connection: Carrier) -> None:
+        """Have the gateway go on with that request over the connection to its host."""
+        gateway = self._front.gateway
+        request = gateway.adopt(passed, body, self._reply, self.gone, host, connection)
+        if self._busy:
+            self._request = request
 
     @property
     def descriptor(self) -> int:
@@ -474,9 +574,12 @@
         return int(self._transport.get_extra_info("socket").fileno()) if self._transport is not None else -1
 
     def let_go(self) -> None:
-        """Another process goes on with the answer: the connection is closed here without a word."""
+        """Another process goes on with it: the connection is closed here without a word."""
         self._note_close(CloseReason.PASSED_ON)
-        self._out = None
+        if self._request is not None and self._own is not None and not self._own.came:
+            self._own.release()
+            self._front.gateway.let_go(self._request)
+        self._in = self._own = self._out = None
         self._front.streaming.discard(self)
         self._stop_reading()
         self._busy, self._request = False, None
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -21,6 +21,7 @@
     Outcome,
     Refuse,
     Request,
+    RequestAdopted,
     RequestGone,
     RequestId,
     Send,
@@ -36,7 +37,7 @@
 from whinrouter.invariants.events import EventKind
 from whinrouter.invariants.lifecycle import Guards, RequestLife
 from whinrouter.learnt import Learnt
-from whinrouter.net.attempt import Attempt, Sender
+from whinrouter.net.attempt import Attempt, Carrier, Sender, Target
 from whinrouter.net.hosts import HostList
 from whinrouter.net.http import Headers, Message
 from whinrouter.net.wheel import Timer, Wheel
@@ -59,6 +60,15 @@
     rest: Flow | None = None  # of the body, where it is passed on as it comes
 
 
+class PassedRequest(NamedTuple):
+    """A request that another process goes on with, as far as its decisions need to know."""
+
+    name: str  # its id, as its client gave it
+    class_name: str  # empty: a class that was never announced
+    patience: int  # microseconds that its client waits from the end of its body
+    server: ServerId
+
+
 class Asked(NamedTuple):
     """A client's request as the module wants it, and as a host does."""
 
@@ -80,6 +90,7 @@
         "gone",
         "life",
         "message",
+        "name",
         "never_ran",
         "patience",
         "reply",
@@ -98,7 +109,9 @@
         reply: Callable[[Answer], None],
         life: RequestLife,
         gone: Callable[[], bool] | None,
+        name: str,
     ) -> None:
+        self.name = name  # its id, as its client gave it
         self.gone = gone  # whether its client has left, as far as the system knows
         self.request = request
         self.message = message
@@ -207,7 +220,7 @@
         time_is_up = bool(lay) and timeout <= lay + MARGIN
         timeout = max(1, timeout - lay - MARGIN)
         life = self.guards.start(request, class_name, now + timeout, now, name)
-        held = _Held(request, message, reply, life, gone)
+        held = _Held(request, message, reply, life, gone, name)
         if time_is_up:  # no host has heard of it
             self._give(held, Answer(503), now, "its time was up unread")
             return request
@@ -220,6 +233,60 @@
         self._feed(Request(request, class_name, timeout, cost, key, retry, tenant, streams), request, now)
         return request
 
+    def passable(self, request: RequestId) -> PassedRequest | None:
+        """A request that another process can go on with: its one attempt has begun, its body still comes."""
+        held = self._held.get(request)
+        if held is None or held.reply is None or not held.comes:
+            return None
+        out = [attempt for attempt in held.sent if attempt is not None]
+        if len(out) != 1 or not out[0].begun or out[0].connection is None or out[0].streams:
+            return None
+        kind = held.life.kind
+        server = out[0].host.member.server.id
+        return PassedRequest(held.name, kind.name if kind is not None else "", held.patience, server)
+
+    def let_go(self, request: RequestId) -> None:
+        """Another process goes on with it, and with its attempt: nothing is owed here."""
+        held = self._held.get(request)
+        if held is None:
+            return
+        held.reply = None
+        self.guards.pass_on(held.life, self.clock.now())
+        for attempt in list(held.sent):
+            if attempt is not None and attempt.connection is not None:
+                attempt.connection.let_go()
+        self._forget(held)
+
+    def adopt(
+        self,
+        passed: PassedRequest,
+        body: Flow,
+        reply: Callable[[Answer], None],
+        gone: Callable[[], bool],
+        host: Target,
+        connection: Carrier,
+    ) -> RequestId:
+        """Go on with a request of another process, whose attempt is out over this connection."""
+        self._last = request = self._last + 1
+        now, loop_now = self.clock.now(), self._loop.time()
+        message = Message(b"POST", rest=body)
+        message.patience = passed.patience / SECOND
+        deadline = now + LONGEST_BODY
+        life = self.guards.adopt(request, passed.class_name, deadline, host.member.server, now, passed.name)
+        held = _Held(request, message, reply, life, gone, passed.name)
+        held.patience = passed.patience
+        expires = loop_now + LONGEST_BODY / SECOND
+        attempt = Attempt(host, message, expires, self._ended, held, 0, loop_now, self._began)
+        attempt.begun = True
+        held.sent.append(attempt)
+        self._held[request] = held
+        self._set_deadline(held, deadline, now)
+        self._feed(
+            RequestAdopted(request, passed.class_name, passed.patience, host.member.server.id), request, now
+        )
+        connection.resume(attempt, body)
+        return request
+
     def answer_by(self, seconds: float) -> None:
         """The process ends soon: what begins, or whose body is still to come, has its answer in this time."""
         now = self.clock.now()
--- a/whinrouter/net/http.py
+++ b/whinrouter/net/http.py
@@ -10,7 +10,7 @@
 import httptools
 
 from whinrouter.streaming.flow import Flow
-from whinrouter.streaming.remainder import Framing, Remainder, left_of_chunk
+from whinrouter.streaming.remainder import ChunkTracker, Framing, Remainder, request_head
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -20,7 +20,6 @@
 # Bytes of framing: chunks' lengths and extensions, trailers. A body may come in chunks of one byte, each with
 # some extension; what is all framing and no body is no message.
 MAX_FRAMING, FRAMING_A_BYTE = 64 * 1024, 256
-MAX_SIZE_LINE = 256  # bytes of a line with a chunk's size that are looked at, to tell what is left of it
 
 # One for all reads; asyncio would otherwise allocate 256 KiB for each.
 _BUFFER = memoryview(bytearray(64 * 1024))
@@ -113,16 +112,15 @@
         self._in_head = False
         self._sent = 0  # bytes of a body that is passed on
         self._newer = True  # the message that comes is not of HTTP/1.0
-        self._body_at_end = 0  # bytes of the latest read, at its end, that are of a chunk that goes on
-        self._chunk_left: int | None = None  # bytes that are left of that chunk; None if nobody can tell
-        self._before = b""  # the latest bytes that were fed, for a chunk's size that came in pieces
+        self._chunks: ChunkTracker | None = None  # of a body that comes in chunks
         self._told = False  # how long its body is, in whichever way
         self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser
 
     def feed(self, data: bytes | memoryview) -> list[Message]:
         """Take what came in; return the messages that are to be had. After an `error` nothing may follow."""
         self._messages = []
-        self._body_at_end = 0
+        if self._chunks is not None:
+            self._chunks.begin_read()
         self._read = len(data)
         self.size += self._read
         self._framing += self._read
@@ -139,22 +137,10 @@
             self.error = fault.__context__
         except httptools.HttpParserError as broken:
             self.error = BadMessageError(HTTPStatus.BAD_REQUEST, f"broken HTTP: {broken}")
-        if self._told and self._length is None and self.began:
-            self._track_chunk(data)
+        if self._chunks is not None:
+            self._chunks.end_read(data)
         return self._messages
 
-    def _track_chunk(self, data: bytes | memoryview) -> None:
-        """Keep count of what is left of the chunk that the latest read ends in."""
-        if self._body_at_end >= len(data) and self._chunk_left is not None:
-            self._chunk_left -= len(data)
-        else:
-            begins = len(data) - self._body_at_end
-            before = bytes(data[max(0, begins - MAX_SIZE_LINE) : begins])
-            if begins < MAX_SIZE_LINE:
-                before = self._before + before
-            self._chunk_left = left_of_chunk(before, self._body_at_end)
-        self._before = (self._before + bytes(data[-MAX_SIZE_LINE:]))[-MAX_SIZE_LINE:]
-
     def finish(self) -> list[Message]:
         """The connection has ended; return the message that ends with it, if there is one."""
         self._messages = []
@@ -191,7 +177,7 @@
         self._target, self._headers, self._body = b"", [], b""
         self._framing, self._length, self._until_end, self.rest = 0, None, False, None
         self._told = False
-        self._chunk_left, self._before = None, b""
+        self._chunks = None
         self._sent = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -212,6 +198,9 @@
         if told:
             framing = [(name, value.strip().lower()) for name, value in told if name in _FRAMING]
             self._length, self._told = _length(framing), bool(framing)
+            if self._told and self._length is None:
+                self._chunks = ChunkTracker()
+                self._chunks.chunk_ended()
             self.waits_for_leave = any(value.strip().lower() == b"100-continue" for _, value in told)
             if self._length is not None and self._length > MAX_BODY:
                 self._give_out()
@@ -233,7 +222,8 @@
     def on_body(self, data: bytes) -> None:
         if self._framing > 0:
             self._framing -= FRAMING_A_BYTE * len(data)
-        self._body_at_end += len(data)
+        if self._chunks is not None:
+            self._chunks.add(len(data))
         if self.rest is not None:
             self._put(data)
             return
@@ -247,6 +237,25 @@
             self._sent = len(self._body)
             self._give_out()
 
+    def on_chunk_header(self) -> None:
+        if self._chunks is not None:
+            self._chunks.chunk_begins()
+
+    def on_chunk_complete(self) -> None:
+        if self._chunks is not None:
+            self._chunks.chunk_ended()
+
+    def remainder(self) -> Remainder | None:
+        """What is still to come of the body that is passed on; None if that can't be told now."""
+        if self.rest is None or self.error is not None:
+            return None
+        if self._length is not None:
+            return Remainder(Framing.LENGTH, self._length - self._sent)
+        if self._until_end:
+            return Remainder(Framing.CONNECTION_END, 0)
+        left = self._chunks.left if self._chunks is not None else None
+        return None if left is None else Remainder(Framing.CHUNKED, left)
+
     def _put(self, data: bytes) -> None:
         assert self.rest is not None
         self._sent += len(data)
@@ -262,6 +271,7 @@
         else:
             self._message(method, status, bytes(self._body), None)
         self.waits_for_leave = self.began = False
+        self._chunks = None
         self.size = self._sent = self._framing = 0
 
     def _message(self, method: bytes, status: int, body: bytes, rest: Flow | None) -> None:
@@ -296,6 +306,64 @@
     def __init__(self, flow: Callable[[int | None], Flow] | None = None) -> None:
         super().__init__(flow)
         self._parser: httptools.HttpRequestParser = httptools.HttpRequestParser(self)
+        self._raw_head: bytes | None = b""  # of a head that is not whole; None if its start can't be told
+
+    def feed(self, data: bytes | memoryview) -> list[Message]:
+        began = self.began
+        messages = super().feed(data)
+        if not (self.began and self._in_head):
+            self._raw_head = b""
+        elif messages or (began and not self._raw_head):  # it began behind another in this read
+            self._raw_head = None
+        elif self._raw_head is not None:
+            self._raw_head += bytes(data)
+        return messages
+
+    def received(self) -> bytes | None:
+        """What another reader has to be fed to stand where this one does, between messages or in one.
+
+        None if that can't be told now, or if the message was given out already.
+        """
+        if not self.began:
+            return b""
+        if self.rest is not None or self.error is not None:
+            return None
+        if self._in_head:
+            return self._raw_head
+        version = self._parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (self._parser.get_method(), self._target, version)]
+        lines += [b"%b: %b" % header for header in self._headers if header[0] != b"expect"]
+        body = self._received_body()
+        return None if body is None else b"%b\r\n\r\n%b" % (b"\r\n".join(lines), body)
+
+    def _received_body(self) -> bytes | None:
+        body = bytes(self._body)
+        if self._chunks is None:
+            return body
+        left = self._chunks.left
+        if left is None:
+            return None
+        return b"%x\r\n%b" % (len(body) + left, body) if left else (chunk(body) if body else b"")
+
+    def resume(self, remainder: Remainder, length: int | None, received: int) -> Flow:
+        """Stand in the body of a request that another reader gave out; the flow that its rest goes into.
+
+        `length`: of the whole body, if it is told; `received`: bytes of it that have come.
+        """
+        assert self._flow is not None
+        self._parser.feed_data(request_head(remainder))
+        self.rest = self.rest or self._flow(length)
+        self._messages, self._headers, self._body = [], [], b""
+        self._length, self._sent, self.size = length, received, 0
+        self.waits_for_leave = False
+        if remainder.framing is Framing.CHUNKED:
+            self._chunks = ChunkTracker(remainder.bytes_left)
+        return self.rest
+
+    @property
+    def passed(self) -> int:
+        """Bytes of the body that is passed on, by now."""
+        return self._sent
 
     def on_url(self, url: bytes) -> None:
         self._target += url
@@ -345,23 +413,6 @@
         if not self.bare:
             super().on_body(data)
 
-    def on_chunk_header(self) -> None:
-        self._body_at_end = 0
-
-    def on_chunk_complete(self) -> None:
-        self._body_at_end = 0
-
-    def remainder(self) -> Remainder | None:
-        """What is still to come of the body that is passed on; None if that can't be told now."""
-        if self.rest is None or self.error is not None:
-            return None
-        if self._length is not None:
-            return Remainder(Framing.LENGTH, self._length - self._sent)
-        if self._until_end:
-            return Remainder(Framing.CONNECTION_END, 0)
-        left = self._chunk_left
-        return Remainder(Framing.CHUNKED, left) if left else None
-
     def on_message_complete(self) -> None:
         status = self._parser.get_status_code()
         if status >= 200 and not self.bare:  # an interim answer (1xx) is not the answer
--- a/whinrouter/net/transport.py
+++ b/whinrouter/net/transport.py
@@ -49,6 +49,7 @@
         self._is_frozen = frozen
         self._is_closing = self._is_lost = self._is_ended = False
         protocol.connection_made(self)
+        self._pause_if_full()
         self._set_reader()
         self._set_writer()
 
@@ -57,6 +58,11 @@
         """Whether it neither reads nor writes for now."""
         return self._is_frozen
 
+    @property
+    def is_full(self) -> bool:
+        """Whether its protocol was told to pause writing, and will be told to resume."""
+        return self._is_full
+
     def freeze(self) -> bytes:
         """Neither read nor write until `thaw`; return the bytes that the system has not taken."""
         self._is_frozen = True
@@ -159,6 +165,9 @@
             data = memoryview(data)[sent:]
         self._buffer += data
         self._set_writer()
+        self._pause_if_full()
+
+    def _pause_if_full(self) -> None:
         if len(self._buffer) > self._high and not self._is_full:
             self._is_full = True
             self._protocol.pause_writing()
@@ -210,6 +219,7 @@
             high = HIGH_WATER if low is None else 4 * low
         self._high = high
         self._low = high // 4 if low is None else low
+        self._pause_if_full()
 
     def close(self) -> None:
         if self._is_closing:
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -4,17 +4,19 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
-from whinrouter.interface import Outcome, ServerId, State
-from whinrouter.net.attempt import Attempt, Began, Ended, MayBegin
+from whinrouter.interface import Outcome, Server, ServerId, State
+from whinrouter.net.attempt import Attempt, Began, Ended, MayBegin, Target
 from whinrouter.net.connect import ConnectResult, connect
 from whinrouter.net.hosts import Member
 from whinrouter.net.http import LAST_CHUNK, Message, Reading, ResponseReader, chunk
 from whinrouter.net.sockets import acknowledged, age, poller
+from whinrouter.net.transport import SocketTransport
 from whinrouter.streaming.flow import STALL, Flow
 from whinrouter.streaming.remainder import Remainder
 
@@ -33,10 +35,10 @@
 class _Host:
     member: Member
     ready: bool = True
-    idle: list[_Connection] = field(default_factory=list)  # the latest used last
+    idle: list[HostConnection] = field(default_factory=list)  # the latest used last
     connecting: set[Attempt] = field(default_factory=set)
 
-    def rested(self, now: float) -> _Connection | None:
+    def rested(self, now: float) -> HostConnection | None:
         """Take the latest used of those at rest for long enough; None if there is none.
 
         The longer one has stood idle, the likelier its host has closed it.
@@ -47,7 +49,7 @@
         return None
 
 
-class _Connection(Reading):
+class HostConnection(Reading):
     """One connection to a host; carries one attempt at a time."""
 
     def __init__(self, pool: Upstream, host: _Host) -> None:
@@ -156,14 +158,36 @@
         """Its socket's."""
         return int(self._transport.get_extra_info("socket").fileno()) if self._transport is not None else -1
 
+    def freeze(self) -> bytes:
+        """Neither read nor write; the bytes that have not gone out."""
+        return self._transport.freeze() if isinstance(self._transport, SocketTransport) else b""
+
+    def thaw(self) -> None:
+        """Read and write again."""
+        if isinstance(self._transport, SocketTransport):
+            self._transport.thaw()
+
     def let_go(self) -> None:
-        """Another process goes on with the answer: the connection is closed here without a word."""
+        """Another process goes on with it: the connection is closed here without a word.
+
+        An answer that has begun counts as served; an attempt before that is given up, with no verdict.
+        """
         attempt, self._attempt = self._attempt, None
         if self._transport is not None:
             self._transport.abort()
         if attempt is not None:
             attempt.connection = None
-            attempt.end(Outcome.OK)
+            attempt.end(Outcome.OK if attempt.streams else Outcome.CANCELLED)
+
+    def resume(self, attempt: Attempt, body: Flow) -> None:
+        """Go on with an attempt of another process, whose body still comes."""
+        transport = self._transport
+        assert transport is not None
+        self._attempt, attempt.connection, self._begun = attempt, self, self._pool.now()
+        self.written, self._body = False, body
+        body.attach(self, self._begun)
+        if isinstance(transport, SocketTransport) and transport.is_full:
+            body.full(self._begun)
 
     def unwanted(self) -> None:
         """The client has left, or nobody wants the answer."""
@@ -387,22 +411,33 @@
         self._connecting += 1
         host.connecting.add(attempt)
         up = partial(self._up, host, attempt)
-        connecting = connect(lambda: _Connection(self, host), host.member.address, self._connect_time, up)
+        connecting = connect(lambda: HostConnection(self, host), host.member.address, self._connect_time, up)
         attempt.task = self._loop.create_task(connecting)
         attempt.task.add_done_callback(partial(self._connected, host, attempt))
         return attempt
 
+    def adopt(
+        self, server: ServerId, endpoint: socket.socket, unsent: bytes
+    ) -> tuple[Target, HostConnection]:
+        """Go on with a connection of another process, which neither reads nor writes yet, and its host."""
+        host = self._hosts.get(server)
+        if host is None:  # it has left, or was never listed here: nothing new goes there
+            host = _Host(Member(Server(server, State.DRAINING), ("", 0)), ready=False)
+        connection = HostConnection(self, host)
+        SocketTransport(endpoint, connection, unsent, frozen=True)
+        return host, connection
+
     def _make_room(self) -> bool:
         idle = [connection for host in self._hosts.values() for connection in host.idle]
         if idle:
             min(idle, key=lambda connection: connection.idle_since).drop()
         return bool(idle)
 
-    def _up(self, host: _Host, attempt: Attempt, connection: _Connection) -> None:
+    def _up(self, host: _Host, attempt: Attempt, connection: HostConnection) -> None:
         host.connecting.discard(attempt)
         self._begin(host, attempt, connection, waited=True)
 
-    def _begin(self, host: _Host, attempt: Attempt, connection: _Connection, waited: bool) -> None:
+    def _begin(self, host: _Host, attempt: Attempt, connection: HostConnection, waited: bool) -> None:
         """Send an attempt over a connection, if it may begin: there is no other way to one."""
         if attempt.may_begin is not None and not attempt.over:
             barred = attempt.may_begin(attempt, host.ready, waited)
--- a/whinrouter/streaming/flow.py
+++ b/whinrouter/streaming/flow.py
@@ -111,7 +111,6 @@
         self._held = False  # the source reads no more
         self._grace = grace
         self._pace = RateFloor(now, grace, floor)
-        self._paused = False  # it is being handed over
         self._taken = -1  # what the sink's reader had when that was last looked at
 
     @property
@@ -125,19 +124,14 @@
         return self._source
 
     @property
-    def is_empty(self) -> bool:
-        """Whether all that was put in has gone to the sink."""
-        return not self._kept
+    def sink(self) -> Sink | None:
+        """Where it goes."""
+        return self._sink
 
-    def pause(self, now: float) -> None:
-        """Have the source read no more, though the sink may go on."""
-        self._paused = True
-        self._settle(now)
-
-    def resume(self, now: float) -> None:
-        """Undo `pause`."""
-        self._paused = False
-        self._settle(now)
+    @property
+    def kept(self) -> bytes:
+        """What was put in and has not gone to the sink."""
+        return b"".join(self._kept)
 
     def release(self) -> None:
         """Somebody else goes on with it: neither side is told anything more."""
@@ -160,7 +154,7 @@
 
     def _settle(self, now: float) -> None:
         """Hold the source while more would have to be kept, and no longer."""
-        hold = self._paused or (self._full if self.stage is Stage.FLOWING else self._size > MOST)
+        hold = self._full if self.stage is Stage.FLOWING else self._size > MOST
         if hold and not self._held and not self.came:
             self._held, self._pace.due = True, now + STALL
             self._source.hold()
@@ -202,6 +196,7 @@
         self._sink = None
         if self.stage is Stage.FLOWING:
             self.stage = Stage.FILLING
+            self._full, self._pace.due = False, now + STALL  # not the time of a sink that has left
             self._settle(now)
 
     def full(self, now: float) -> None:
--- a/whinrouter/streaming/remainder.py
+++ b/whinrouter/streaming/remainder.py
@@ -1,8 +1,8 @@
 """What is still to come of a body, in a form that another process can go on from. No I/O, no clock.
 
 A body's rest is told by its framing alone: so many bytes, all up to the connection's end, or chunks of which
-the one that is under way has so many bytes left. Whoever goes on has a fresh parser, which is given a head
-of that framing first.
+the one that is under way has so many bytes left, none if the size of the next one comes first. Whoever goes
+on has a fresh parser, which is given a head of that framing first.
 """
 
 from __future__ import annotations
@@ -12,6 +12,8 @@
 
 import httptools
 
+MAX_SIZE_LINE = 256  # bytes of a line with a chunk's size that are looked at, to tell what is left of it
+
 
 class Framing(Enum):
     """How the end of a body is told."""
@@ -47,16 +49,63 @@
     """What comes is no rest of such a body."""
 
 
+class ChunkTracker:
+    """Keeps count of what is left of the chunk that the latest read of a body ended in.
+
+    The parser tells where chunks begin and end and gives out their bytes; how many are left of one it does
+    not tell, and the line with a chunk's size may have come in an earlier read.
+    """
+
+    def __init__(self, left: int | None = None) -> None:
+        self.left = left  # of the present chunk; 0: the next one's size comes next; None: nobody can tell
+        self._at_end = 0  # bytes of the latest read, at its end, that are of a chunk that goes on
+        self._is_between = left == 0  # the parser waits for a chunk's size
+        self._before = b"\r\n" if left == 0 else b""  # the latest bytes that were fed
+
+    def begin_read(self) -> None:
+        """A read is fed to the parser."""
+        self._at_end = 0
+
+    def add(self, count: int) -> None:
+        """The parser gave out so many bytes of a chunk."""
+        self._at_end += count
+
+    def chunk_begins(self) -> None:
+        """The line with a chunk's size is whole."""
+        self._at_end, self._is_between = 0, False
+
+    def chunk_ended(self) -> None:
+        """A chunk is whole, or the head in front of the first."""
+        self._at_end, self._is_between = 0, True
+
+    def end_read(self, data: bytes | memoryview) -> None:
+        """The parser has used up a read."""
+        if self._at_end >= len(data) and self.left:
+            self.left = self.left - len(data) or None  # the end of its line is still to come
+        else:
+            begins = len(data) - self._at_end
+            before = bytes(data[max(0, begins - MAX_SIZE_LINE) : begins])
+            if begins < MAX_SIZE_LINE:
+                before = self._before + before
+            self.left = left_of_chunk(before, self._at_end)
+        self._before = (self._before + bytes(data[-MAX_SIZE_LINE:]))[-MAX_SIZE_LINE:]
+        if self._is_between and self._before.endswith(b"\r\n"):  # nothing of the next size has come
+            self.left = 0
+
+
 class RemainderReader:
     """Takes the rest of a body as its connection brings it, and gives out the body's bytes."""
 
     def __init__(self, remainder: Remainder) -> None:
         self._framing = remainder.framing
+        self._bytes_left = remainder.bytes_left  # of a body whose length is told
         self.is_whole = False
         self.has_surplus = False  # bytes came behind the body
         self._body: list[bytes] = []
+        self._chunks = ChunkTracker(remainder.bytes_left)
         self._parser = httptools.HttpResponseParser(self)
-        self._parser.feed_data(_head(remainder))
+        self._parser.feed_data(response_head(remainder))
+        self._chunks = ChunkTracker(remainder.bytes_left)  # the head's own chunk line is none of the body's
 
     def feed(self, data: bytes) -> bytes:
         """The bytes of the body in what came; BrokenRemainderError if it can't be read."""
@@ -64,13 +113,24 @@
             self.has_surplus = self.has_surplus or bool(data)
             return b""
         self._body = []
+        self._chunks.begin_read()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             if not self.is_whole:
                 raise BrokenRemainderError(str(error)) from None
             self.has_surplus = True
-        return b"".join(self._body)
+        body = b"".join(self._body)
+        if self._framing is Framing.CHUNKED:
+            self._chunks.end_read(data)
+        elif self._framing is Framing.LENGTH:
+            self._bytes_left -= len(body)
+        return body
+
+    def remainder(self) -> Remainder | None:
+        """What is still to come; None if that can't be told now."""
+        left = self._chunks.left if self._framing is Framing.CHUNKED else self._bytes_left
+        return None if left is None or self.is_whole else Remainder(self._framing, left)
 
     def end(self) -> bool:
         """The connection has ended; whether the body is whole with it."""
@@ -80,6 +140,13 @@
     def on_body(self, data: bytes) -> None:
         if not self.is_whole:
             self._body.append(data)
+            self._chunks.add(len(data))
+
+    def on_chunk_header(self) -> None:
+        self._chunks.chunk_begins()
+
+    def on_chunk_complete(self) -> None:
+        self._chunks.chunk_ended()
 
     def on_message_complete(self) -> None:
         self.is_whole = True
@@ -88,15 +155,25 @@
         self.has_surplus = self.is_whole
 
 
-def _head(remainder: Remainder) -> bytes:
+def response_head(remainder: Remainder) -> bytes:
+    """A head behind which a parser of answers takes the rest of this body."""
+    return b"HTTP/1.1 200 OK\r\n" + _framing_lines(remainder)
+
+
+def request_head(remainder: Remainder) -> bytes:
+    """A head behind which a parser of requests takes the rest of this body."""
+    return b"POST / HTTP/1.1\r\n" + _framing_lines(remainder)
+
+
+def _framing_lines(remainder: Remainder) -> bytes:
     match remainder.framing:
         case Framing.LENGTH:
-            return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % remainder.bytes_left
+            return b"content-length: %d\r\n\r\n" % remainder.bytes_left
         case Framing.CHUNKED:
-            chunk = b"%x\r\n" % remainder.bytes_left
-            return b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + chunk
+            size_line = b"%x\r\n" % remainder.bytes_left if remainder.bytes_left else b""
+            return b"transfer-encoding: chunked\r\n\r\n" + size_line
         case Framing.CONNECTION_END:
-            return b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n"
+            return b"connection: close\r\n\r\n"
 
 
 def left_of_chunk(before: bytes, came: int) -> int | None:
