--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -528,6 +528,7 @@
 
     def abandon(self) -> None:
         """It stays with the process that offered it: forget it, without a word to its client."""
+        self._note_close(CloseReason.PASSED_ON)
         self._deaf = True
         if self._transport is not None:
             self._transport.abort()
@@ -542,6 +543,7 @@
 
     def flush_and_close(self) -> None:
         """Close once what another process left unsent has gone out."""
+        self._note_close(CloseReason.ANSWERED)
         self._stop_reading()
         self._wait(IDLE_TIME)
         self._long = True  # the last part of an answer, which a slow reader may take long over
