Tell a resumed upload's whole length, write events seldom; soak until the kill

And one answer 0.59 s late: each SIGUSR1 of a series wrote 2,048 lines in the loop. Change: RequestReader.resume keeps the whole length; an upload is set up before "held" is said, so that what can't be taken stays with the older process; events are written once a second at most. The soak's clients use open connections until the kill, and a request that was read on a kept one is lost though its client asked again; signals in series at starts and ends; crowds of idle connections; slow uploads, longer than a replaced process lives; it starts gateways by the deploy file's line. Tests: an upload through five processes, failing without; a series of SIGUSR1.

--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -20,6 +20,8 @@
 CONNECT_TIME = 1.0
 BAD_CLIENT_TIME = 3.0  # within which a bad client is owed an error or a close
 UPLOAD_RATE = 200_000.0  # bytes a second
+SLOW_RATE, SLOW_SHARE = 64_000.0, 0.3  # of the slowest honest clients, and how many uploads are theirs
+SLOW_SIZES = (200_000, 600_000)  # bytes: 3 to 9 s, longer than a replaced process lives
 KILL_TIME = 0.5  # seconds around a kill in which a connection may lead nowhere
 IDLE_KEPT = 40  # connections to one gateway that clients keep
 BAD_TEXTS = (
@@ -102,6 +104,10 @@
         self.not_taken = 0
         self._count = 0
 
+    def has_kept(self, gateway: int) -> bool:
+        """Whether a connection to this gateway is open and idle."""
+        return any(kept.is_open for kept in self._idle[gateway])
+
     async def _connection(self, gateway: int, port: int, fresh: bool) -> tuple[ClientConnection, bool]:
         """A connection, and whether it was used before; OSError or TimeoutError if there is none."""
         idle = self._idle[gateway]
@@ -121,7 +127,11 @@
         self._count += 1
         name = f"{self._random.getrandbits(48):012x}{self._count:04x}"
         is_upload = rules is not READ and self._is_on("uploads") and self._random.random() < 0.3
-        body = self._random.randbytes(self._random.randrange(70_000, 200_000)) if is_upload else b"x" * 20
+        is_slow = is_upload and self._random.random() < SLOW_SHARE
+        sizes = SLOW_SIZES if is_slow else (70_000, 200_000)
+        body = self._random.randbytes(self._random.randrange(*sizes)) if is_upload else b"x" * 20
+        rate = SLOW_RATE if is_slow else UPLOAD_RATE
+        first_ended: float | None = None
         again = False
         while True:
             try:
@@ -131,10 +141,13 @@
                 if again:  # its first connection had ended before it was read
                     self._ledger.asked[name].excused = "nobody takes it any more"
                 return
-            crossed = await self._play(connection, reused, name, rules, gateway, body)
+            crossed = await self._play(connection, reused, name, rules, gateway, body, rate)
+            if again and name in self._ledger.asked:
+                self._ledger.asked[name].first_ended = first_ended
             if not crossed or again:
                 return
-            again = True
+            again, first = True, self._ledger.asked[name]
+            first_ended = first.first_ended = None if first.excused else self._now()
 
     async def _play(
         self,
@@ -144,11 +157,12 @@
         rules: ClassRules,
         gateway: int,
         body: bytes,
+        rate: float,
     ) -> bool:
         """Send and wait; True if a kept connection ended with no byte of an answer."""
         answer = connection.expect()
         began = self._now()
-        if not await self._write(connection, answer, name, rules, body):
+        if not await self._write(connection, answer, name, rules, body, rate):
             is_killed = any(began - KILL_TIME < at for at in self._killed[gateway])
             if not reused and not is_killed:
                 detail = f"at {self._now():.3f} s gateway {gateway} cut its body off with no answer"
@@ -199,6 +213,7 @@
         name: str,
         rules: ClassRules,
         body: bytes,
+        rate: float,
     ) -> bool:
         """Write the request; False if its connection ended before its last byte."""
         head = [
@@ -224,9 +239,22 @@
             if answer.done():
                 return answer.result() is not None
             connection.write(body[place : place + step])
-            await asyncio.sleep(step / UPLOAD_RATE)
+            await asyncio.sleep(step / rate)
         return True
 
+    async def crowd(self, port: int, count: int, seconds: float) -> None:
+        """So many connections that ask for nothing, for a while."""
+        writers = []
+        for _ in range(count):
+            try:
+                async with asyncio.timeout(CONNECT_TIME):
+                    writers.append((await asyncio.open_connection("127.0.0.1", port))[1])
+            except (OSError, TimeoutError):
+                break
+        await asyncio.sleep(seconds)
+        for writer in writers:
+            writer.transport.abort()
+
     async def misbehave(self, gateway: int, port: int, excused: Callable[[int, float], bool]) -> None:
         """A bad client: it is owed an error or a close."""
         began = self._now()
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+import tomllib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -23,9 +24,18 @@
 
 STOP_TIME = max(rules.deadline for rules in CLASSES) + 0.7  # from SIGTERM to SIGKILL
 CALL_TIME = 1.0  # within which a call is answered
+SERIES, SERIES_EVERY = 100, 0.003  # signals of one series, and the seconds between two
+START_SERIES = (signal.SIGHUP, signal.SIGUSR1)
+END_SERIES = (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP)
 _EFFECTS = {"read": "idempotent", "buy": "at_most_once", "order": "deduplicated"}
 
 
+def command(tree: Path) -> str:
+    """The deploy file's own line, with this interpreter and the sources of a checkout."""
+    run: str = tomllib.loads((tree / "deploy" / "balancer.toml").read_text())["run"]
+    return run.replace(".venv/bin/python", sys.executable)
+
+
 # Ports under those that the system gives to outgoing connections, in slices for soaks that run side by side.
 FIRST_PORT, SLICE, SLICES = 10_000, 550, 40
 
@@ -105,6 +115,9 @@
     attempts: int = 4
     starts: int = 0  # processes that were started
     processes: list[asyncio.subprocess.Process] = field(default_factory=list)  # all of them
+    has_signals: Callable[[], bool] = bool  # whether signals come in series
+    is_ending: bool = False  # it has had SIGTERM, and lives
+    _annoying: list[asyncio.Task[None]] = field(default_factory=list)
     faults: list[Violation] = field(default_factory=list)
 
     @property
@@ -149,9 +162,23 @@
             fds = (self.shared.fileno(),)
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-P", "-m", "whinrouter", env=environment, stderr=log, pass_fds=fds
+                "/bin/sh", "-c", command(self.tree), env=environment, stderr=log, pass_fds=fds
             )
         self.processes.append(self.process)
+        if self.has_signals():
+            self._annoying.append(asyncio.create_task(self._annoy(self.process, START_SERIES)))
+
+    async def _annoy(self, process: asyncio.subprocess.Process, numbers: tuple[signal.Signals, ...]) -> None:
+        """Signals in series, from the instant at which the shell has given way to the program."""
+        name = Path(f"/proc/{process.pid}/comm")
+        while process.returncode is None and name.exists() and name.read_text().strip() == "sh":
+            await asyncio.sleep(SERIES_EVERY)
+        for place in range(SERIES):
+            if process.returncode is not None:
+                return
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, numbers[place % len(numbers)])
+            await asyncio.sleep(SERIES_EVERY)
 
     async def call(self, line: str, control: int = 0) -> str:
         """An operator's call; an empty answer if there was none."""
@@ -199,6 +226,9 @@
             self.faults.append(Violation("crash", "", f"gateway {self.rank}: exit {process.returncode}"))
             return
         process.send_signal(signal.SIGTERM)
+        self.is_ending = True
+        if self.has_signals():
+            self._annoying.append(asyncio.create_task(self._annoy(process, END_SERIES)))
         try:
             async with asyncio.timeout(STOP_TIME):
                 status = await process.wait()
@@ -207,6 +237,7 @@
         except TimeoutError:
             process.kill()
             await process.wait()
+        self.is_ending = False
 
     async def stop(self) -> None:
         """A planned restart's first half."""
--- a/benchmarks/soak/ledger.py
+++ b/benchmarks/soak/ledger.py
@@ -47,6 +47,8 @@
     excused: str = ""  # why no answer is owed
     heard: bool = False  # a part of an answer came
     how: str = ""  # the connection that it went over, and what came of it
+    # When a kept connection ended with no byte of an answer, and its client asked again; None: it did not.
+    first_ended: float | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -132,6 +134,12 @@
             found.append(
                 Violation("lost", name, f"at {request.sent:.3f} s, gateway {request.gateway}: {request.how}")
             )
+        ended = request.first_ended
+        if ended is not None and any(attempt.began < ended for attempt in attempts):
+            detail = (
+                f"read at gateway {request.gateway}, its connection ended at {ended:.3f} s with no answer"
+            )
+            found.append(Violation("lost", name, detail))
         late = (request.answered or 0.0) - request.sent - request.rules.deadline
         ends = request.answered or request.sent
         if late > ANSWER_SLACK + self.lag and not self._is_frozen(request.gateway, request.sent, ends):
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -31,6 +31,8 @@
     "burst",  # three times the requests
     "bad-clients",  # half requests, garbage, many commands at once
     "uploads",  # long bodies, slowly
+    "crowd",  # idle connections up to a gateway's limit on descriptors
+    "signals",  # signals in series, at starts and during ends
     "calls",  # hosts are taken out and put back, gateways emptied and filled
 )
 # The library of faults is loaded into all gateways of a soak, with one of these sets.
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -26,6 +26,7 @@
 LAG_STEP = 0.02
 LAG_BOUND = 0.2  # a player that ran later than this is no judge
 ACTS_EVERY = 0.7  # seconds between acts of a trouble
+CROWD = 500  # connections: clients have half of 1,024 descriptors less the reserved ones
 AFTERWARDS = 3.0  # seconds after the last request
 _ADMITTED = re.compile(r"event .* request (\d+) attempt 0: admitted \((\w+)\)")
 _INSIDE = re.compile(rb"invariant ([a-z-]+) violated by request .*")
@@ -113,6 +114,7 @@
                     lambda rank: self.clients.excuse(rank, "killed"),
                     self._ports,
                     shared,
+                    has_signals=lambda: self.is_on("signals"),
                 )
             )
         for gateway in self.gateways:
@@ -175,15 +177,19 @@
         while self.now() < self.plan.seconds:
             rate = RATE * (3.0 if self.is_on("burst") else 1.0)
             await asyncio.sleep(self._random.expovariate(rate))
-            up = [gateway for gateway in self.gateways if gateway.is_up]
+            up = [gateway for gateway in self.gateways if self._may_be_asked(gateway)]
             if not up:
                 continue
             gateway = self._random.choice(up)
-            if self.is_on("bad-clients") and self._random.random() < 0.1:
+            if gateway.is_up and self.is_on("bad-clients") and self._random.random() < 0.1:
                 self._start(self.clients.misbehave(gateway.rank, gateway.port, self._was_disturbed))
             else:
                 self._start(self.clients.ask(gateway.rank, gateway.port))
 
+    def _may_be_asked(self, gateway: GatewayProcess) -> bool:
+        """Whether clients come: once a gateway says no, over connections that are open, until its end."""
+        return gateway.is_up or (gateway.is_ending and self.clients.has_kept(gateway.rank))
+
     def _was_disturbed(self, rank: int, since: float) -> bool:
         """Whether a gateway was ended or put aside, which a bad client is not owed anything over."""
         gateway = self.gateways[rank]
@@ -216,6 +222,7 @@
             "silence": self._silence,
             "watches": self._reset_watches,
             "calls": self._call,
+            "crowd": self._crowd,
         }
 
     def _free_gateway(self, shared: bool | None = None) -> GatewayProcess | None:
@@ -317,6 +324,11 @@
         await asyncio.sleep(self._random.uniform(0.2, 1.5))
         host.refuses_connections = False
 
+    async def _crowd(self) -> None:
+        gateway = self._random.choice(self.gateways)
+        if gateway.is_up:
+            await self.clients.crowd(gateway.port, CROWD, self._random.uniform(0.5, 3.0))
+
     async def _silence(self) -> None:
         self._random.choice(self.gateways).agent.fall_silent()
 
--- a/tests/handover/test_connections.py
+++ b/tests/handover/test_connections.py
@@ -139,16 +139,20 @@
 @scenario
 async def test_an_upload_is_passed_on_from_process_to_process(tmp_path: Path) -> None:
     async with _fleet(tmp_path, says(body=b"ordered")) as fleet:
-        client, parts = await Client.connect(fleet.port), _order()
+        body = BODY * 2  # at each upgrade more than a body that is held whole is still to come
+        client, parts = await Client.connect(fleet.port), _order(body=body)
         await _write(client, parts[:5])
         await fleet.upgrade()
-        await _write(client, parts[5:8])
+        await _write(client, parts[5:12])
         await fleet.over()
-        await fleet.upgrade()
-        await _write(client, parts[8:])
+        for place in (12, 16, 20):
+            await fleet.upgrade()
+            await _write(client, parts[place : place + 4])
+            await fleet.over()
+        await _write(client, parts[24:])
         assert (await client.answer()).status == 200
         await fleet.over()
-        assert [request.body for request in fleet.host.requests] == [BODY]
+        assert [request.body for request in fleet.host.requests] == [body]
 
 
 @scenario
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -145,3 +145,19 @@
     call.stop()
     await asyncio.sleep(0.1)
     assert len(made) == 2
+
+
+@scenario
+async def test_a_series_that_asks_for_events_does_not_hold_up_requests(tmp_path: Path) -> None:
+    """Found by the soak: each SIGUSR1 wrote thousands of lines, and answers came 0.6 s late."""
+    async with _gateway(tmp_path) as process:
+        port = await port_of(process)
+        assert await is_up(port) == 503
+        for _ in range(200):
+            os.kill(process.pid, signal.SIGUSR1)
+            await asyncio.sleep(SERIES_EVERY)
+        process.send_signal(signal.SIGTERM)
+        assert process.stderr is not None
+        told = (await process.stderr.read()).decode()
+        assert await _ended(process) == 0
+        assert 1 <= told.count("events; invariants violated") <= 4
--- a/whinrouter/handover/connections.py
+++ b/whinrouter/handover/connections.py
@@ -183,14 +183,14 @@
     def __init__(
         self, message: PassedUpload, client: ClientConnection, host: Target, connection: HostConnection
     ) -> None:
-        self._message, self._client = message, client
-        self._host, self._connection = host, connection
+        self._client, self._host, self._connection = client, host, connection
+        self._passed = PassedRequest(message.name, message.class_name, message.patience, message.server)
+        self._body = client.resume_upload(
+            self._passed, message.remainder, message.received, message.length, message.closes
+        )
 
     def begin(self) -> None:
-        told = self._message
-        passed = PassedRequest(told.name, told.class_name, told.patience, told.server)
-        body = self._client.resume_upload(passed, told.remainder, told.received, told.length, told.closes)
-        self._client.resume_request(passed, body, self._host, self._connection)
+        self._client.resume_request(self._passed, self._body, self._host, self._connection)
         self._connection.thaw()
         self._client.thaw()
 
--- a/whinrouter/handover/passing.py
+++ b/whinrouter/handover/passing.py
@@ -273,6 +273,8 @@
                     await self._receive(endpoint)
             except (OSError, TimeoutError, msgspec.DecodeError, NoRoomError) as error:
                 log.warning("handover: a connection was not taken: %s", error or "no whole message in time")
+            except Exception:  # it stays with the older process, which has not heard "held"
+                log.exception("handover: a connection was not taken")
 
     async def _receive(self, endpoint: socket.socket) -> None:
         with contextlib.ExitStack() as undo:
--- a/whinrouter/net/http.py
+++ b/whinrouter/net/http.py
@@ -353,6 +353,7 @@
         assert self._flow is not None
         self._parser.feed_data(request_head(remainder))
         self.rest = self.rest or self._flow(length)
+        self.rest.length = length  # the head above told what is left
         self._messages, self._headers, self._body = [], [], b""
         self._length, self._sent, self.size = length, received, 0
         self.waits_for_leave = False
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -57,6 +57,7 @@
 SELDOM = 1.0  # seconds between two log lines of a kind
 # Seconds between two reloads: SIGHUPs that come faster than a file is read must not keep the loop busy.
 RELOAD_EVERY = 0.1
+EVENTS_EVERY = 1.0  # and between two times at which the latest events, thousands of lines, are written
 
 
 class Hosts(Protocol):
@@ -146,7 +147,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGUSR1, _write_events, gateway)
+    events = _write_events_on_signal(loop, gateway)
     signals.release((signal.SIGTERM, signal.SIGINT, signal.SIGUSR1))
     desk = Desk(gateway.clock.now, loop.time, gateway.list_hosts, frontend.presence)
     desk.violations = gateway.guards.violations.summary
@@ -178,6 +179,7 @@
         application.start()
     await stop.wait()
     reload.stop()
+    events.stop()
     log.info("stopping: %d requests held", gateway.holds)
     gateway.note(EventKind.STOPPING, f"{gateway.holds} held")
     frontend.stop()
@@ -202,6 +204,12 @@
     log.info("ended; invariants violated: %s", gateway.guards.violations.summary())
 
 
+def _write_events_on_signal(loop: asyncio.AbstractEventLoop, gateway: Gateway) -> CoalescedCall:
+    events = CoalescedCall(loop, partial(_write_events, gateway), EVENTS_EVERY)
+    loop.add_signal_handler(signal.SIGUSR1, events.ask)
+    return events
+
+
 def _write_events(gateway: Gateway) -> None:
     """Write the latest events to the log, as an operator asks by SIGUSR1."""
     events = gateway.guards.ring.events()
