Never send a part of an upload as if it were all of it

Cause: submit_request told the balancer that a body streams only while its end had not come, and the balancer took "does not stream" for "is held" and started a copy beside the first attempt. What a flow has given to an attempt is not kept, complete or not: the copy was sent what stood in the message, found the flow empty, and was ended with the last chunk.

Change: a body with a flow streams, complete or not, so that it has one attempt at a time. A body of up to 128 KiB that is complete before it is submitted is moved out of its flow and held, so that it can be repeated. A guard (sent-whole) lets no attempt begin with a flow that another one has or had a part of.

Why this works: the balancer is told whether a body can be sent twice, not whether it is complete; and the guard stands in the one place that each attempt passes, also one whose connection comes up late.

The stand-in sender of test_late_connections moved to a file of its own.

--- a/tests/invariants/test_lifecycle.py
+++ b/tests/invariants/test_lifecycle.py
@@ -38,8 +38,9 @@
     at: int = 0,
     is_ready: bool = True,
     timeout: int = 0,
+    has_whole_body: bool = True,
 ) -> bool:
-    return guards.may_send(life, life.attempts_sent, server, is_ready, timeout, START + at)
+    return guards.may_send(life, life.attempts_sent, server, is_ready, has_whole_body, timeout, START + at)
 
 
 def violated(guards: Guards) -> list[Invariant]:
@@ -132,6 +133,7 @@
         (Invariant.SENT_WHILE_OWED, _after_client_left(send), False),
         (Invariant.SENT_WHILE_OWED, lambda g, life: send(g, life, at=DEADLINE + 1), False),
         (Invariant.SENT_TO_READY_HOST, lambda g, life: send(g, life, is_ready=False), False),
+        (Invariant.SENT_WHOLE, lambda g, life: send(g, life, has_whole_body=False), False),
         (Invariant.DEADLINE_TOLD, lambda g, life: send(g, life, at=SECOND, timeout=DEADLINE), False),
         (
             Invariant.ANSWERED_ONCE,
@@ -206,11 +208,12 @@
     def time_passes(self, by: int) -> None:
         self.now += by
 
-    @rule(server=st.sampled_from([FIRST_HOST, OTHER_HOST]), is_ready=st.booleans())
-    def send(self, server: Server, is_ready: bool) -> None:
+    @rule(server=st.sampled_from([FIRST_HOST, OTHER_HOST]), is_ready=st.booleans(), has_body=st.booleans())
+    def send(self, server: Server, is_ready: bool, has_body: bool) -> None:
         number = self.life.attempts_sent
-        if self.guards.may_send(self.life, number, server, is_ready, 0, self.now):
+        if self.guards.may_send(self.life, number, server, is_ready, has_body, 0, self.now):
             assert is_ready
+            assert has_body
             assert not self.has_run
             assert not self.unfinished, "an unsafe request has no second attempt"
             assert self.answers == 0
--- a/tests/streaming/test_flow.py
+++ b/tests/streaming/test_flow.py
@@ -106,6 +106,18 @@
     def end(self) -> None:
         self.flow.end()
 
+    @precondition(lambda self: self._is_active())
+    @rule(max_bytes=st.sampled_from([0, READ_BYTES, 10 * READ_BYTES]))
+    def take_received(self, max_bytes: int) -> None:
+        is_here = self.flow.is_received and not self.is_attached and not self.sides.sent
+        data = self.flow.take_received(max_bytes)
+        if self.flow.stage is Stage.ENDED:
+            assert data == bytes(self.put_data)
+            assert len(self.put_data) <= max_bytes
+        else:
+            assert data is None
+            assert not is_here or len(self.put_data) > max_bytes
+
     @rule(how=st.sampled_from(["fail", "cancel", "discard", "wait", "wait"]))
     def stop_or_wait(self, how: str) -> None:
         if how == "fail":
@@ -126,6 +138,12 @@
         if self.flow.stage is Stage.FLOWING and not self.sides.is_full:
             assert self.sides.sent == self.put_data, "nothing is buffered while the sink accepts data"
 
+    @invariant()
+    def is_whole_only_if_nothing_is_lost_and_no_sink_has_it(self) -> None:
+        if self.flow.is_whole:
+            assert not self.sides.sent
+            assert self.flow.stage is Stage.ENDED or not self.is_attached
+
     @invariant()
     def buffered_data_is_bounded(self) -> None:
         if self.flow.stage in (Stage.FILLING, Stage.FLOWING):
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
 from typing import Any
 
 import pytest
@@ -23,9 +22,9 @@
     scripted_servers,
     wait_until,
 )
+from tests.stalled_sender import StalledSender
 from whinrouter.balance import Balancer
 from whinrouter.interface import MS, SECOND, Effect, Outcome, RequestClass, Scope, Server, Settings
-from whinrouter.net.attempt import Attempt, EndedCallback, MayBeginCheck, StreamingCallback
 from whinrouter.net.gateway import Answer, ClientRequest, Gateway
 from whinrouter.net.hosts import HostList, Member
 from whinrouter.net.http import Message
@@ -90,46 +89,13 @@
             client.close()
 
 
-class _StalledSender:
-    """A sender whose connections are established only when a test calls `blocked_outcome`."""
-
-    def __init__(self) -> None:
-        self.attempts: list[Attempt] = []
-
-    def update(self, members: Iterable[Member], complete: bool) -> None:
-        self.member = next(iter(members))
-        self.connecting: set[Attempt] = set()
-
-    def send(
-        self,
-        server: int,
-        message: Message,
-        expires_at: float,
-        on_ended: EndedCallback,
-        owner: Any = None,
-        number: int = 0,
-        on_streaming: StreamingCallback | None = None,
-        may_begin: MayBeginCheck | None = None,
-    ) -> Attempt | None:
-        self.attempts.append(
-            Attempt(self, message, expires_at, on_ended, owner, number, 0.0, on_streaming, may_begin)
-        )
-        return self.attempts[-1]
-
-    def blocked_outcome(self, number: int) -> Outcome | None:
-        """Return the outcome that keeps an attempt from being written, or None if it may be written."""
-        attempt = self.attempts[number]
-        assert attempt.may_begin is not None
-        return attempt.may_begin(attempt, True, True)
-
-
 def _submit(gateway: Gateway, timeout: int = 20 * SECOND) -> list[Answer]:
     answers: list[Answer] = []
     gateway.submit_request(ClientRequest(Message(b"POST", b"/order"), "order", timeout), answers.append)
     return answers
 
 
-def _create_gateway(sender: _StalledSender, settings: Settings) -> Gateway:
+def _create_gateway(sender: StalledSender, settings: Settings) -> Gateway:
     gateway = Gateway(Balancer(settings, seed=1), sender)
     gateway.update_hosts(
         HostList(1, True, tuple(Member(Server(id=server_id), ("127.0.0.1", 9)) for server_id in (1, 2)))
@@ -140,14 +106,14 @@
 @async_test
 async def test_the_dedup_window_also_binds_the_first_of_two_attempts() -> None:
     """The first connection is established late, and the hedge that started meanwhile may have run."""
-    sender = _StalledSender()
+    sender = StalledSender()
     gateway = _create_gateway(sender, _settings())
     answers = _submit(gateway)
-    assert sender.blocked_outcome(0) is None
+    assert sender.begin(0) is None
     await wait_until(lambda: len(sender.attempts) > 1)  # the first one is late, so a hedge starts
     _block_loop(DEDUP_WINDOW / SECOND)
-    assert sender.blocked_outcome(0) is Outcome.NOT_SENT
-    assert sender.blocked_outcome(1) is Outcome.NOT_SENT
+    assert sender.begin(0) is Outcome.NOT_SENT
+    assert sender.begin(1) is Outcome.NOT_SENT
     assert not answers
 
 
@@ -155,23 +121,23 @@
 @async_test
 async def test_a_sole_attempt_may_connect_after_the_dedup_window(window: int) -> None:
     """No other attempt can have run, even if earlier ones were never written."""
-    sender = _StalledSender()
+    sender = StalledSender()
     gateway = _create_gateway(sender, _settings(window))
     _submit(gateway)
     _block_loop(0.01)
-    assert sender.blocked_outcome(0) is None
+    assert sender.begin(0) is None
     sender.attempts[0].stop(Outcome.NOT_SENT)
     assert len(sender.attempts) == 2
     _block_loop(0.01)
-    assert sender.blocked_outcome(1) is None
+    assert sender.begin(1) is None
 
 
 @async_test
 async def test_an_attempt_is_not_written_when_it_connects_after_the_deadline() -> None:
-    sender = _StalledSender()
+    sender = StalledSender()
     gateway = _create_gateway(sender, _settings())
     answers = _submit(gateway, DEDUP_WINDOW)
-    assert sender.blocked_outcome(0) is None
+    assert sender.begin(0) is None
     _block_loop(DEDUP_WINDOW / SECOND)
-    assert sender.blocked_outcome(0) is Outcome.NOT_SENT
+    assert sender.begin(0) is Outcome.NOT_SENT
     await wait_until(lambda: answers)
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -181,7 +181,9 @@
     key: str | None = None
     is_retry: bool = False  # the client marked it as its own retry
     tenant: str = ""
-    streams_body: bool = False  # the body is forwarded as it arrives: no two attempts run at a time
+    # The body is forwarded as it arrives and is not kept: no two attempts run at a time, complete or not.
+    # `BodyReceived` follows once it is complete.
+    streams_body: bool = False
 
 
 class StreamStarted(NamedTuple):
--- a/whinrouter/invariants/lifecycle.py
+++ b/whinrouter/invariants/lifecycle.py
@@ -144,13 +144,15 @@
         attempt: int,
         server: Server,
         is_ready: bool,
+        has_whole_body: bool,
         timeout: int,
         now: int,
     ) -> bool:
         """Whether the first byte of an attempt may leave now; if so, the attempt counts as sent.
 
-        `is_ready`: the host may be sent to, as far as this process knows. `timeout`: the microseconds that
-        the host is given for its answer.
+        `is_ready`: the host may be sent to, as far as this process knows. `has_whole_body`: no part of the
+        request body was given to another attempt and not kept. `timeout`: the microseconds that the host is
+        given for its answer.
         """
         if lifecycle.state in FINAL_STATES or now > lifecycle.deadline:
             reason = lifecycle.state.value if lifecycle.state in FINAL_STATES else "its time is up"
@@ -159,6 +161,8 @@
             )
         if not is_ready:
             return self._violated(Invariant.SENT_TO_READY_HOST, lifecycle, now, f"attempt {attempt}")
+        if not has_whole_body:
+            return self._violated(Invariant.SENT_WHOLE, lifecycle, now, f"attempt {attempt}")
         if timeout > lifecycle.deadline - now + DEADLINE_SLACK:
             return self._violated(
                 Invariant.DEADLINE_TOLD, lifecycle, now, f"{timeout} given, {lifecycle.deadline - now} left"
--- a/whinrouter/invariants/violations.py
+++ b/whinrouter/invariants/violations.py
@@ -21,6 +21,7 @@
     REPEATED_ONLY_SAFELY = "repeated-only-safely"  # a second attempt only where the class allows it
     SENT_WHILE_OWED = "sent-while-owed"  # none begins after the answer, the deadline or the client's end
     SENT_TO_READY_HOST = "sent-to-ready-host"  # not to a host that drains, is gone or was taken out
+    SENT_WHOLE = "sent-whole"  # no attempt with a body of which another attempt has taken a part
     DEADLINE_TOLD = "deadline-told"  # a host is given no more time than the client has left
     CLOSED_WHEN_FREE = "closed-when-free"  # no client connection is closed while it is owed an answer
     ANSWERED_AT_EXIT = "answered-at-exit"  # no request is unanswered when the process ends
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -238,6 +238,7 @@
         """
         self._last_request_id = request_id = self._last_request_id + 1
         message, class_name, timeout, cost, key, is_retry, tenant, client_request_id = client_request
+        message.hold_received_body()
         unread_time, now = round(unread_seconds * SECOND), self.clock.now()
         is_expired = bool(unread_time) and timeout <= unread_time + DEADLINE_MARGIN_MICROSECONDS
         timeout = max(1, timeout - unread_time - DEADLINE_MARGIN_MICROSECONDS)
@@ -247,16 +248,18 @@
             self._deliver_answer(pending, Answer(503), now, "its deadline passed before it was read")
             return request_id
         self._pending[request_id] = pending
-        has_streamed_body = message.body_flow is not None and not message.body_flow.is_received
+        body_flow = message.body_flow
         message.client_timeout_seconds = timeout / SECOND
-        if has_streamed_body:  # its deadline counts from the end of its body
+        if body_flow is not None:  # its deadline counts from the end of its body
             pending.lifecycle.deadline, pending.client_timeout = now + MAX_UPLOAD_MICROSECONDS, timeout
         self._set_deadline(pending, pending.lifecycle.deadline, now)
         self._dispatch_event(
-            Request(request_id, class_name, timeout, cost, key, is_retry, tenant, has_streamed_body),
+            Request(request_id, class_name, timeout, cost, key, is_retry, tenant, body_flow is not None),
             request_id,
             now,
         )
+        if body_flow is not None and body_flow.is_received:
+            self.complete_body(request_id)
         return request_id
 
     def describe_for_handover(self, request_id: RequestId) -> HandedOverRequest | None:
@@ -515,9 +518,10 @@
         announced_deadline = (
             round((attempt.expires_at - loop_now) * SECOND) if attempt.message.body_flow is None else 0
         )
-        server = attempt.host.member.server
+        server, body_flow = attempt.host.member.server, attempt.message.body_flow
+        has_whole_body = body_flow is None or body_flow.is_whole
         attempt.has_begun = self.guards.may_send(
-            pending.lifecycle, attempt.number, server, is_ready, announced_deadline, now
+            pending.lifecycle, attempt.number, server, is_ready, has_whole_body, announced_deadline, now
         )
         return None if attempt.has_begun else Outcome.NOT_SENT
 
--- a/whinrouter/net/http.py
+++ b/whinrouter/net/http.py
@@ -27,6 +27,9 @@
 Headers = list[tuple[bytes, bytes]]
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # a larger body is streamed
+# A larger body that has arrived completely before it is sent anywhere is held like a small one, up to this
+# size: a buffered part and the read behind it.
+MAX_HELD_BODY_BYTES = 2 * MAX_BUFFERED_BODY_BYTES
 MAX_BODY_BYTES = 40 * 1024 * 1024  # the largest bodies in use, and a quarter more
 MAX_HEAD_BYTES = 16 * 1024  # more than any browser sends; a head without an end is rejected early
 # Limits on framing: chunk sizes and extensions, trailers. A body may come in chunks of one byte, each with an
@@ -87,6 +90,17 @@
     # Of a request with a streamed body: for how long the client waits from the end of the body.
     client_timeout_seconds: float = 0.0
 
+    def hold_received_body(self) -> None:
+        """Move a streamed body that has arrived completely into `body`, unless it is too large to be held.
+
+        A body that is held can be sent more than once, also by two attempts at a time; a streamed one can't.
+        """
+        if self.body_flow is None:
+            return
+        rest = self.body_flow.take_received(MAX_HELD_BODY_BYTES - len(self.body))
+        if rest is not None:
+            self.body, self.body_flow = self.body + rest, None
+
     def get(self, name: bytes) -> str | None:
         """Return the first value of a header; None if there is none."""
         for header_name, value in self.headers:
--- a/whinrouter/streaming/flow.py
+++ b/whinrouter/streaming/flow.py
@@ -10,7 +10,8 @@
     either  --discard-> DISCARDING: the rest of the body is not wanted; it is read and dropped
 
 Data that was given to a sink is not kept: once `is_partly_sent` is set, the request whose body this is can't
-be sent to another host any more.
+be sent to another host any more. A body that has arrived completely before it has a sink can be taken out
+whole instead (`take_received`), and is then held by the taker.
 
 `is_overdue` finds the side that makes no progress. The source has a grace period and the time that its bytes
 have earned at a least rate (`RateFloor`), so that neither silence nor a trickle keeps a connection. While the
@@ -113,6 +114,7 @@
         self._buffered_bytes = 0
         self._is_sink_full = False
         self._is_paused = False  # the source was told to pause reading
+        self._is_discarded = False  # the rest is not wanted, and what was buffered is gone
         self._grace = grace
         self._rate_floor = RateFloor(now, grace, floor)
         self._delivered = -1  # bytes that the sink reported as delivered at the latest check
@@ -137,6 +139,24 @@
         """The buffered data, which the sink was not given yet."""
         return b"".join(self._buffer)
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether a sink that is attached now is given the whole body: no other sink has it or had a part.
+
+        A body that has ended is whole only if it has no data: its sink was given everything else.
+        """
+        is_lost = self.is_partly_sent or self._is_discarded
+        return not is_lost and self.stage in (Stage.FILLING, Stage.ENDED)
+
+    def take_received(self, max_bytes: int) -> bytes | None:
+        """End the flow and return its data; None if the data is incomplete, partly sent or too large."""
+        is_here = self.stage is Stage.FILLING and self.is_received and self.is_whole
+        if not is_here or self._buffered_bytes > max_bytes:
+            return None
+        data = self.unsent
+        self.release()
+        return data
+
     def release(self) -> None:
         """End the flow here, as another process continues the body: neither side is called any more."""
         self.stage, self._sink, self._buffer, self._buffered_bytes = Stage.ENDED, None, [], 0
@@ -224,7 +244,7 @@
         """The rest is not wanted: what the source still reads is dropped."""
         if self.stage in (Stage.ENDED, Stage.BROKEN):
             return
-        self._sink, self._buffer, self._buffered_bytes = None, [], 0
+        self._sink, self._buffer, self._buffered_bytes, self._is_discarded = None, [], 0, True
         self.stage = Stage.ENDED if self.is_received else Stage.DISCARDING
         self._update_source(now)
 
