Plan the end of a process by the settings in force, not by former classes

Cause: RequestInterpreter.longest_deadline was the maximum over the classes in force and all that the last retune had replaced, for good. The last answers were planned for 3.3 s after SIGTERM, where 1.5 s and 0.7 s were left.

Change: net/request_classes.py holds the classes in force and former ones, each until the last of its requests is over.

Why this works: the two questions have an answer each, and a former class has an end. The end plans by the settings in force also right behind a retune, where the former class is still accepted.

Test: tests/test_final_answers.py, the upload that completes late, with a retune before: no answer by the kill on the code before, passes now. tests/test_request_classes.py has the life of a class, to the moment.

--- a/benchmarks/soak/proof.py
+++ b/benchmarks/soak/proof.py
@@ -109,7 +109,7 @@
         "shutdown waits for requests in progress",
         "1da8317",
         "program.py",
-        "async with asyncio.timeout(RECEIVE_TIMEOUT_SECONDS + frontend.longest_deadline_seconds):",
+        "async with asyncio.timeout(RECEIVE_TIMEOUT_SECONDS + frontend.open_request_seconds):",
         "async with asyncio.timeout(0.0):",
     ),
     PastFix(
--- a/setup.py
+++ b/setup.py
@@ -25,6 +25,7 @@
     "whinrouter/net/hosts.py",
     "whinrouter/net/http.py",
     "whinrouter/net/interpreter.py",
+    "whinrouter/net/request_classes.py",
     "whinrouter/net/routes.py",
     "whinrouter/net/sockets.py",
     "whinrouter/net/upstream.py",
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -17,6 +17,8 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from tests.peers import (
     Client,
     Script,
@@ -29,12 +31,20 @@
 )
 from tests.processes import wait_for_log
 from tests.test_discovery import HEAD
-from tests.test_program import SETTINGS, listen_port, platform_config, running_program
+from tests.test_program import (
+    SETTINGS,
+    listen_port,
+    platform_config,
+    running_program,
+    up_status,
+    write_config,
+)
 from whinrouter.net.http import Message
 
 LONGEST_DEADLINE_SECONDS = 2.0  # of all classes
 KILL_DELAY_SECONDS = LONGEST_DEADLINE_SECONDS + 0.7  # from SIGTERM to SIGKILL at the earliest
 BODY = bytes(range(256)) * 2000
+LONGER_CLASS = SETTINGS["classes"][0] | {"name": "ledger-read", "giveUp": 20_000_000}
 FAILURE_STATUSES = {502, 504}
 REFUSAL_STATUS = 503
 
@@ -73,13 +83,25 @@
 
 @asynccontextmanager
 async def _program_under_test(
-    folder: Path, script: Script = never_answers
+    folder: Path, script: Script = never_answers, removed_class: dict[str, Any] | None = None
 ) -> AsyncIterator[_ProgramUnderTest]:
-    """Run the program with one host, which runs `script`, and one client."""
+    """Run the program with one host, which runs `script`, and one client.
+
+    `removed_class`: a class with which the program is started, and which a retune takes out.
+    """
     async with scripted_servers(script, _watch) as (host, discovery_server):
         config = platform_config(discovery_server.port, host.discovery_entry(), settings=_settings())
-        async with running_program(folder, config) as process:
-            client = await Client.connect(await listen_port(process))
+        first_settings = _settings()
+        if removed_class is not None:
+            first_settings["classes"] = [*first_settings["classes"], removed_class]
+        async with running_program(folder, config | {"settings": first_settings}) as process:
+            port = await listen_port(process)
+            if removed_class is not None:
+                assert await up_status(port) == 200
+                write_config(folder, config)
+                process.send_signal(signal.SIGHUP)
+                await wait_for_log(process, "settings")
+            client = await Client.connect(port)
             yield _ProgramUnderTest(host, client, process)
 
 
@@ -89,9 +111,13 @@
     )
 
 
+@pytest.mark.parametrize("removed_class", [None, LONGER_CLASS], ids=["as started", "retuned"])
 @async_test
-async def test_an_upload_that_completes_late_is_answered_before_the_kill(tmp_path: Path) -> None:
-    async with _program_under_test(tmp_path) as program:
+async def test_an_upload_that_completes_late_is_answered_before_the_kill(
+    tmp_path: Path, removed_class: dict[str, Any] | None
+) -> None:
+    """Retuned: a class with a longer deadline than all in force must not delay the last answers."""
+    async with _program_under_test(tmp_path, removed_class=removed_class) as program:
         text = _upload()
         program.client.writer.write(text[:-1000])
         await wait_until(lambda: program.host.requests or program.host.received_bytes > 100_000)
--- /dev/null
+++ b/tests/test_request_classes.py
@@ -0,0 +1,75 @@
+"""Classes that a retune takes out: which requests are accepted, and what the end of the process waits for.
+
+Guards against this failure: a retune had taken out the class with the longest deadline, 10 s before SIGTERM.
+The process planned its last answers by that class, 3.3 s after the signal, and was killed after 2.2 s.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from whinrouter.interface import MS, SECOND, Effect, RequestClass, Settings
+from whinrouter.net.request_classes import RequestClasses
+
+READ = RequestClass("transcript-read", 750 * MS, 1_500 * MS, Effect.IDEMPOTENT)
+SUBMIT = RequestClass("job-submit", 2_500 * MS, 6 * SECOND, Effect.KEYED)
+ALL_CLASSES, READ_ONLY = Settings((READ, SUBMIT)), Settings((READ,))
+RETUNED_AT = 100.0
+ACCEPTED_UNTIL = RETUNED_AT + SUBMIT.deadline / SECOND
+OVER_AT = ACCEPTED_UNTIL + SUBMIT.deadline / SECOND
+
+
+def _retuned(*settings: Settings) -> RequestClasses:
+    """Return classes after one retune from all classes to each of these settings, all at `RETUNED_AT`."""
+    classes = RequestClasses(ALL_CLASSES)
+    for new in settings:
+        classes.apply_settings(new, RETUNED_AT)
+    return classes
+
+
+def _found(classes: RequestClasses, request_class: RequestClass, now: float) -> RequestClass | None:
+    method = b"GET" if request_class.effect is Effect.IDEMPOTENT else b"POST"
+    return classes.find(request_class.name.encode(), method, now)
+
+
+@pytest.mark.parametrize(
+    "shorter", [READ_ONLY, Settings((READ, RequestClass("job-submit", 750 * MS, 1_000 * MS, Effect.KEYED)))]
+)
+def test_the_longest_deadline_is_that_of_the_settings_in_force(shorter: Settings) -> None:
+    """A class that is gone or has become shorter plans no end of the process, from the retune on."""
+    assert RequestClasses(ALL_CLASSES).longest_deadline == SUBMIT.deadline
+    assert _retuned(shorter).longest_deadline == READ.deadline
+    assert _retuned(shorter, ALL_CLASSES).longest_deadline == SUBMIT.deadline
+
+
+@pytest.mark.parametrize(
+    ("now", "deadline"),
+    [
+        (RETUNED_AT, SUBMIT.deadline),
+        (ACCEPTED_UNTIL, SUBMIT.deadline),
+        (OVER_AT - 0.001, SUBMIT.deadline),
+        (OVER_AT, READ.deadline),
+        (OVER_AT + 3600.0, READ.deadline),
+    ],
+)
+def test_a_removed_class_counts_as_open_until_its_last_request_is_over(now: float, deadline: int) -> None:
+    assert _retuned(READ_ONLY).longest_open_deadline(now) == deadline
+
+
+def test_a_removed_class_is_accepted_for_a_while_as_one_that_must_not_run_twice() -> None:
+    classes = _retuned(READ_ONLY)
+    found = _found(classes, SUBMIT, ACCEPTED_UNTIL - 0.001)
+    assert found is not None
+    assert (found.name, found.deadline) == ("", SUBMIT.deadline)
+    assert _found(classes, SUBMIT, ACCEPTED_UNTIL) is None
+    assert _found(classes, READ, OVER_AT) is READ
+
+
+def test_a_class_whose_effect_has_changed_is_found_by_the_method_of_the_request() -> None:
+    unsafe_read = RequestClass(READ.name, READ.aim, READ.deadline, Effect.AT_MOST_ONCE)
+    classes = _retuned(Settings((unsafe_read, SUBMIT)))
+    assert _found(classes, unsafe_read, RETUNED_AT) is unsafe_read
+    found = _found(classes, READ, RETUNED_AT)
+    assert found is not None
+    assert (found.name, found.effect) == ("", Effect.IDEMPOTENT)
+    assert _found(classes, READ, OVER_AT) is unsafe_read, "which requires another method"
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -169,8 +169,13 @@
 
     @property
     def longest_deadline_seconds(self) -> float:
-        """The time within which any accepted request is over, by the current and the previous settings."""
-        return self.interpreter.longest_deadline / SECOND
+        """The longest deadline of the settings in force, after which the platform may kill the process."""
+        return self.interpreter.classes.longest_deadline / SECOND
+
+    @property
+    def open_request_seconds(self) -> float:
+        """The time within which every request in progress is over, also one of former settings."""
+        return self.interpreter.classes.longest_open_deadline(self._loop.time()) / SECOND
 
     def remaining_seconds(self) -> float:
         """Return the seconds within which a new request must be answered, whatever its own deadline."""
@@ -279,7 +284,7 @@
         now = self._loop.time()
         for client in [client for client in self.inactive_connections if client.wait_deadline <= now]:
             # With unread input the loop may be late, not the peer; after the longest deadline nobody waits.
-            if client.has_nothing_unread or client.wait_deadline + self.longest_deadline_seconds <= now:
+            if client.has_nothing_unread or client.wait_deadline + self.open_request_seconds <= now:
                 client.time_out()
         for client in [client for client in self.streaming_connections if client.is_stalled(now)]:
             client.abort_stalled()
@@ -704,7 +709,7 @@
         loop_is_late = (
             not body.is_source_paused and self._transport is not None and has_unread(self._transport)
         )
-        return not loop_is_late or body.is_overdue(now - self._frontend.longest_deadline_seconds)
+        return not loop_is_late or body.is_overdue(now - self._frontend.open_request_seconds)
 
     def abort_stalled(self) -> None:
         """End a stalled stream.
--- a/whinrouter/net/interpreter.py
+++ b/whinrouter/net/interpreter.py
@@ -7,12 +7,12 @@
 
 import math
 import os
-from dataclasses import replace
 from http import HTTPStatus
 
-from whinrouter.interface import SECOND, Effect, RequestClass, Settings
+from whinrouter.interface import SECOND, RequestClass, Settings
 from whinrouter.net.gateway import ClientRequest
 from whinrouter.net.http import BadMessageError, Message
+from whinrouter.net.request_classes import RequestClasses, is_method_allowed
 from whinrouter.net.routes import Routes
 
 MAX_REQUEST_ID_CHARACTERS = 128
@@ -33,37 +33,20 @@
 
 
 class RequestInterpreter:
-    """Interprets requests by the current settings and, for a while, by the previous ones."""
+    """Interprets requests by the settings in force and, for a while, by former ones."""
 
     def __init__(self, settings: Settings, routes: Routes | None = None) -> None:
         """`routes`: map paths to classes, for an application whose requests name no class and no id."""
         self._routes = routes
-        self._classes = {request_class.name.encode(): request_class for request_class in settings.classes}
-        # Classes before the settings changed, each with the time until which its requests may still arrive.
-        self._previous_classes: dict[bytes, tuple[RequestClass, float]] = {}
-
-    @property
-    def longest_deadline(self) -> int:
-        """The time in microseconds within which every accepted request is over.
-
-        It is the longest deadline of a class in the current and the previous settings.
-        """
-        previous = [request_class for request_class, _ in self._previous_classes.values()]
-        return max(request_class.deadline for request_class in [*self._classes.values(), *previous])
+        self.classes = RequestClasses(settings)
 
     def apply_settings(self, settings: Settings, now: float, routes: Routes | None = None) -> None:
         """Use new settings; requests that were sent under the old ones are interpreted by them for a while.
 
         `now`: loop time, in seconds.
         """
-        new_classes = {request_class.name.encode(): request_class for request_class in settings.classes}
-        valid_until = now + max(request_class.deadline for request_class in self._classes.values()) / SECOND
-        self._previous_classes = {
-            name: (request_class, valid_until)
-            for name, request_class in self._classes.items()
-            if new_classes.get(name) != request_class
-        }
-        self._classes, self._routes = new_classes, routes
+        self.classes.apply_settings(settings, now)
+        self._routes = routes
 
     def interpret(self, message: Message, now: float) -> ClientRequest:
         """Return the interpreted request; raise BadMessageError if it is invalid. `now`: loop time."""
@@ -91,31 +74,13 @@
         if self._routes is not None:
             return _route_class(self._routes, message, header_class)
         path_class = message.target.partition(b"?")[0].strip(b"/").partition(b"/")[0]
-        request_class = self._classes.get(path_class)
-        if (
-            request_class is None or not _is_method_allowed(message, request_class)
-        ) and path_class in self._previous_classes:
-            request_class = self._previous_class(path_class, message, now)
+        request_class = self.classes.find(path_class, message.method, now)
         if request_class is None or (header_class is not None and header_class != path_class):
             raise BadMessageError(HTTPStatus.BAD_REQUEST, "the class is unknown")
-        if not _is_method_allowed(message, request_class):
+        if not is_method_allowed(message.method, request_class):
             raise BadMessageError(HTTPStatus.METHOD_NOT_ALLOWED, "the class requires another method")
         return request_class
 
-    def _previous_class(self, name: bytes, message: Message, now: float) -> RequestClass | None:
-        """Return a class as it was, for a request that was sent before the class changed.
-
-        The class has no name, so the balancer treats it as an unknown one.
-        """
-        request_class, valid_until = self._previous_classes[name]
-        if valid_until <= now or not _is_method_allowed(message, request_class):
-            return self._classes.get(name)
-        return replace(request_class, name="")
-
-
-def _is_method_allowed(message: Message, request_class: RequestClass) -> bool:
-    return message.method == (b"GET" if request_class.effect is Effect.IDEMPOTENT else b"POST")
-
 
 def _route_class(routes: Routes, message: Message, header_class: bytes | None) -> RequestClass:
     """Return the class to which the routes map the path of a request."""
--- a/whinrouter/operations/presence.py
+++ b/whinrouter/operations/presence.py
@@ -74,7 +74,7 @@
     def time_left(self, now: float, longest_deadline: float) -> float | None:
         """Return the seconds left to answer a request that arrives now; None: only its own deadline counts.
 
-        `longest_deadline`: the longest of all classes, in seconds.
+        `longest_deadline`: the longest of all classes, in seconds, by the settings in force.
         """
         if self.stage is not Stage.STOPPING or now <= self._draining_since + KILL_DELAY_SECONDS:
             return None
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -393,7 +393,7 @@
     loop = asyncio.get_running_loop()
     answer_deadline = frontend.presence.answer_deadline(frontend.longest_deadline_seconds) or loop.time()
     try:
-        async with asyncio.timeout(RECEIVE_TIMEOUT_SECONDS + frontend.longest_deadline_seconds):
+        async with asyncio.timeout(RECEIVE_TIMEOUT_SECONDS + frontend.open_request_seconds):
             while frontend.connections:
                 if loop.time() >= answer_deadline:
                     frontend.refuse_incomplete_requests()
