Keep former classes over later retunes until their last request is over

Cause: each retune built the table of former classes anew from what it replaced itself.

Change: a former class is kept by its value until its last request is over, over any number of retunes; one that comes back and is removed again counts from then. At most 256 are kept, the oldest are dropped.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -194,6 +194,41 @@
             assert len(new.requests) == 1
 
 
+@pytest.mark.parametrize("later_retunes", [0, 1, 2])
+@async_test
+async def test_a_request_under_way_keeps_its_class_over_retunes(tmp_path: Path, later_retunes: int) -> None:
+    """Its class is taken out while its head is half sent; later retunes change other classes."""
+    buy = SETTINGS["classes"][1]
+    async with scripted_servers(answers_with(body=b"bought"), _watch) as (host, service):
+        config = platform_config(service.port, host.discovery_entry())
+        async with running_program(tmp_path, config) as process:
+            port = await listen_port(process)
+            assert await up_status(port) == 200
+            client = await Client.connect(port)
+            text = request_text(buy["name"], body=b"coins")
+            client.writer.write(text[:40])
+            for number in range(1 + later_retunes):
+                new_class = buy | {"name": f"order-{number}"}
+                write_config(tmp_path, config | {"settings": SETTINGS | {"classes": [new_class]}})
+                process.send_signal(signal.SIGHUP)
+                await _wait_for_class(port, new_class["name"])
+            client.writer.write(text[40:])
+            assert (await client.read_answer()).body == b"bought"
+            client.close()
+
+
+async def _wait_for_class(port: int, name: str) -> None:
+    """Wait until requests of a class are served."""
+    async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+        while True:
+            client = await Client.connect(port)
+            status = (await client.fetch(name)).status
+            client.close()
+            if status == 200:
+                return
+            await asyncio.sleep(0.01)
+
+
 @pytest.mark.parametrize("config", [b"{", {"listen": "nowhere"}, None])
 @async_test
 async def test_sighup_with_a_bad_file_changes_nothing(tmp_path: Path, config: object) -> None:
--- a/tests/test_request_classes.py
+++ b/tests/test_request_classes.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from whinrouter.interface import MS, SECOND, Effect, RequestClass, Settings
-from whinrouter.net.request_classes import RequestClasses
+from whinrouter.net.request_classes import MAX_FORMER_CLASSES, RequestClasses
 
 READ = RequestClass("transcript-read", 750 * MS, 1_500 * MS, Effect.IDEMPOTENT)
 SUBMIT = RequestClass("job-submit", 2_500 * MS, 6 * SECOND, Effect.KEYED)
@@ -19,11 +21,11 @@
 OVER_AT = ACCEPTED_UNTIL + SUBMIT.deadline / SECOND
 
 
-def _retuned(*settings: Settings) -> RequestClasses:
-    """Return classes after one retune from all classes to each of these settings, all at `RETUNED_AT`."""
+def _retuned(*settings: Settings, seconds_apart: float = 0.0) -> RequestClasses:
+    """Return classes after retunes from all classes to these settings, the first one at `RETUNED_AT`."""
     classes = RequestClasses(ALL_CLASSES)
-    for new in settings:
-        classes.apply_settings(new, RETUNED_AT)
+    for number, new in enumerate(settings):
+        classes.apply_settings(new, RETUNED_AT + number * seconds_apart)
     return classes
 
 
@@ -73,3 +75,46 @@
     assert found is not None
     assert (found.name, found.effect) == ("", Effect.IDEMPOTENT)
     assert _found(classes, READ, OVER_AT) is unsafe_read, "which requires another method"
+
+
+@pytest.mark.parametrize("seconds_apart", [0.0, 0.3, 1.3, 3.0])
+@pytest.mark.parametrize("count", [2, 3, 10])
+def test_a_removed_class_is_accepted_over_any_number_of_later_retunes(
+    count: int, seconds_apart: float
+) -> None:
+    """A second retune once made the first one forget: a request under way was answered 400."""
+    worths = [Settings((replace(READ, worth=float(number)),)) for number in range(1, count)]
+    classes = _retuned(READ_ONLY, *worths, seconds_apart=seconds_apart)
+    is_accepted = count * seconds_apart < ACCEPTED_UNTIL - RETUNED_AT
+    found = _found(classes, SUBMIT, RETUNED_AT + count * seconds_apart)
+    assert (found is not None) == is_accepted
+    assert _found(classes, SUBMIT, ACCEPTED_UNTIL) is None
+    assert classes.longest_open_deadline(OVER_AT) == READ.deadline
+
+
+def test_a_class_that_comes_back_is_in_force_and_former_again_once_it_is_removed_again() -> None:
+    classes = _retuned(READ_ONLY, ALL_CLASSES, READ_ONLY, seconds_apart=1.0)
+    assert _found(classes, SUBMIT, ACCEPTED_UNTIL + 1.9) is not None
+    assert _found(classes, SUBMIT, ACCEPTED_UNTIL + 2.0) is None
+    assert classes.longest_open_deadline(OVER_AT + 1.9) == SUBMIT.deadline
+    assert classes.longest_open_deadline(OVER_AT + 2.0) == READ.deadline
+    assert _found(_retuned(READ_ONLY, ALL_CLASSES), SUBMIT, OVER_AT) is SUBMIT
+
+
+def test_of_two_former_classes_the_latest_is_found_and_both_count_as_open() -> None:
+    shorter = replace(SUBMIT, aim=300 * MS, deadline=600 * MS)
+    classes = _retuned(Settings((READ, shorter)), READ_ONLY, seconds_apart=1.0)
+    found = _found(classes, SUBMIT, RETUNED_AT + 1.0)
+    assert found is not None
+    assert found.deadline == shorter.deadline
+    found = _found(classes, SUBMIT, RETUNED_AT + 1.0 + READ.deadline / SECOND)
+    assert found is not None, "the class of the first settings is accepted for longer"
+    assert found.deadline == SUBMIT.deadline
+    assert classes.longest_open_deadline(OVER_AT - 0.001) == SUBMIT.deadline
+
+
+def test_former_classes_are_bounded() -> None:
+    classes = RequestClasses(ALL_CLASSES)
+    for number in range(3 * MAX_FORMER_CLASSES):
+        classes.apply_settings(Settings((READ, replace(SUBMIT, name=f"job-{number}"))), RETUNED_AT)
+    assert len(classes._former) == MAX_FORMER_CLASSES
--- a/whinrouter/net/request_classes.py
+++ b/whinrouter/net/request_classes.py
@@ -5,8 +5,9 @@
     IN FORCE --new settings--> ACCEPTED --`accepted_until`--> OPEN --`over_at`--> dropped
 
 While it is accepted, requests that fit no class in force get it. While it is open, requests that were
-accepted can be in progress; the last of them is over at `over_at`. Times are seconds of loop time; no clock,
-no I/O.
+accepted can be in progress; the last of them is over at `over_at`. Later settings change none of this, except
+that a class which is removed once more is former from then on. Times are seconds of loop time; no clock, no
+I/O.
 """
 
 from __future__ import annotations
@@ -16,11 +17,12 @@
 
 from whinrouter.interface import SECOND, Effect, RequestClass, Settings
 
+MAX_FORMER_CLASSES = 256  # more than some settings of many classes within the longest deadlines
+
 
 class _FormerClass(NamedTuple):
-    """A class that is not in force any more."""
+    """How long a class counts that is not in force any more."""
 
-    request_class: RequestClass
     accepted_until: float
     over_at: float  # the time at which the last of its requests is over
 
@@ -30,7 +32,8 @@
 
     def __init__(self, settings: Settings) -> None:
         self._in_force = {request_class.name.encode(): request_class for request_class in settings.classes}
-        self._former: dict[bytes, _FormerClass] = {}
+        # The latest removed one is last. Classes of one name that differ are kept apart.
+        self._former: dict[RequestClass, _FormerClass] = {}
 
     @property
     def longest_deadline(self) -> int:
@@ -43,20 +46,20 @@
     def longest_open_deadline(self, now: float) -> int:
         """Return the time in microseconds within which every request is over that is in progress at `now`."""
         self._drop_closed(now)
-        former_deadlines = [former.request_class.deadline for former in self._former.values()]
-        return max([self.longest_deadline, *former_deadlines])
+        return max([self.longest_deadline, *(request_class.deadline for request_class in self._former)])
 
     def apply_settings(self, settings: Settings, now: float) -> None:
         """Put the classes of new settings in force; requests of the former ones are accepted for a while."""
+        self._drop_closed(now)
         new_classes = {request_class.name.encode(): request_class for request_class in settings.classes}
         accepted_until = now + self.longest_deadline / SECOND
-        self._former = {
-            name: _FormerClass(
-                request_class, accepted_until, accepted_until + request_class.deadline / SECOND
-            )
-            for name, request_class in self._in_force.items()
-            if new_classes.get(name) != request_class
-        }
+        for name, request_class in self._in_force.items():
+            if new_classes.get(name) != request_class:
+                self._former.pop(request_class, None)
+                over_at = accepted_until + request_class.deadline / SECOND
+                self._former[request_class] = _FormerClass(accepted_until, over_at)
+        while len(self._former) > MAX_FORMER_CLASSES:
+            del self._former[next(iter(self._former))]
         self._in_force = new_classes
 
     def find(self, name: bytes, method: bytes, now: float) -> RequestClass | None:
@@ -69,16 +72,24 @@
         request_class = self._in_force.get(name)
         if request_class is not None and is_method_allowed(method, request_class):
             return request_class
-        former = self._former.get(name)
-        if former is None or former.accepted_until <= now:
-            return request_class
-        is_allowed = is_method_allowed(method, former.request_class)
-        return replace(former.request_class, name="") if is_allowed else request_class
+        former = self._find_former(name, method, now)
+        return request_class if former is None else replace(former, name="")
+
+    def _find_former(self, name: bytes, method: bytes, now: float) -> RequestClass | None:
+        """Return the latest removed class with this name and method that is still accepted."""
+        for request_class, former in reversed(self._former.items()):
+            if (
+                former.accepted_until > now
+                and request_class.name.encode() == name
+                and is_method_allowed(method, request_class)
+            ):
+                return request_class
+        return None
 
     def _drop_closed(self, now: float) -> None:
         """Drop the former classes whose last request is over."""
-        if self._former:
-            self._former = {name: former for name, former in self._former.items() if former.over_at > now}
+        for request_class in [key for key, former in self._former.items() if former.over_at <= now]:
+            del self._former[request_class]
 
 
 def is_method_allowed(method: bytes, request_class: RequestClass) -> bool:
