Accept former classes for as long as a slow client may take for a request

Need: "requests under way keep their class" over a retune, and "a client may take 2 s for a head". A former class was accepted for the longest deadline of the old settings alone, so that where all classes have less than 2 s a head that was begun just before the retune was unknown when it was complete (400).

Change: a former class is accepted for 6.5 s more: 2.4 s for a head, and 64 KiB at the least rate with its grace.

Test: tests/test_request_classes.py, the request that is received slowly; it fails with 0 s in place of 6.5 s.

--- a/whinrouter/net/request_classes.py
+++ b/whinrouter/net/request_classes.py
@@ -17,6 +17,9 @@
 
 from whinrouter.interface import SECOND, Effect, RequestClass, Settings
 
+# Time that a slow client may take for a request that is held whole: 2.4 s for its head, then 64 KiB at the
+# least rate, with its grace (`frontend.py`, `streaming/flow.py`).
+MAX_RECEIVE_SECONDS = 6.5
 MAX_FORMER_CLASSES = 256  # more than some settings of many classes within the longest deadlines
 
 
@@ -52,7 +55,7 @@
         """Put the classes of new settings in force; requests of the former ones are accepted for a while."""
         self._drop_closed(now)
         new_classes = {request_class.name.encode(): request_class for request_class in settings.classes}
-        accepted_until = now + self.longest_deadline / SECOND
+        accepted_until = now + MAX_RECEIVE_SECONDS + self.longest_deadline / SECOND
         for name, request_class in self._in_force.items():
             if new_classes.get(name) != request_class:
                 self._former.pop(request_class, None)
