Repeat keyed requests only in a group of hosts that is known

Hosts of a host file have neither zone nor cell, and all of them counted as one group.

Cause: "not known" was the empty string and 0, which compare equal. The rule stood twice, in the decision module and in the guard that is to check it.

Change: in_same_group is the one rule: a host whose zone or cell is not known shares its record of keys with itself alone, as does one whose group has changed since the request was sent. The pool follows the groups of the latest list; it kept those of the first one, and the guard went by them.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,6 +9,7 @@
 from whinrouter.interface import (
     MS,
     SECOND,
+    UNKNOWN_CELL,
     Action,
     AttemptEnded,
     Cancel,
@@ -230,8 +231,10 @@
                 self.listed_servers[action.server],
                 self.listed_servers[possibly_run[0].server],
             )
-            assert request_class.scope is not Scope.ZONE or server.zone == first_server.zone
-            assert request_class.scope is not Scope.CELL or server.cell == first_server.cell
+            if server.id != first_server.id and request_class.scope is Scope.ZONE:
+                assert server.zone == first_server.zone != ""
+            if server.id != first_server.id and request_class.scope is Scope.CELL:
+                assert server.cell == first_server.cell != UNKNOWN_CELL
         self.sent_attempts.append(
             SentAttempt(action.request, len(earlier), action.server, self.now, action.expires)
         )
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -51,7 +51,7 @@
     scope: Scope, status: int
 ) -> None:
     async with scripted_servers(resets_connection, resets_connection) as hosts:
-        members = [host.member() for host in hosts]
+        members = [host.member(cell=1) for host in hosts]
         async with running_gateway(*members, settings=_settings(scope=scope)) as proxy:
             on_connected, connections = proxy.upstream._on_connected, 0
 
--- a/whinrouter/balance.py
+++ b/whinrouter/balance.py
@@ -26,7 +26,7 @@
 from whinrouter.interface import (
     SECOND, Action, Attempt, AttemptEnded, BodyReceived, Cancel, Effect, Event, Fail, Outcome, PendingRequest,
     Refuse, Request, RequestAdopted, RequestClass, RequestGone, RequestId, Scope, Send, Server, ServerId,
-    ServerList, SetTimer, Settings, State, StreamStarted, Subscribe, TimerFired, Update,
+    ServerList, SetTimer, Settings, State, StreamStarted, Subscribe, TimerFired, Update, in_same_group,
 )  # fmt: skip
 from whinrouter.learned_state import LearnedState, age_of, moment_of
 from whinrouter.shedding import LoadShedder
@@ -234,6 +234,8 @@
                 )
                 new_hosts.append(host)
             else:
+                if (host.info.zone, host.info.cell) != (server.zone, server.cell):
+                    host.grouped_since = now
                 host.info = server
             if self._settings.weight_is_capacity and server.weight > 0:
                 host.capacity = server.weight
@@ -516,7 +518,7 @@
         """Whether a server may be sent this request now."""
         if not host.admits(pending.request_class, now):
             return False
-        if pending.attempts and not self._in_dedup_group(host.info, pending):
+        if pending.attempts and not self._in_dedup_group(host, pending):
             return False
         if not host.info.started_at or self._min_capacity_share(host, now) == 1:
             return True
@@ -539,18 +541,21 @@
             and now < first.sent_at + pending.request_class.dedup_window
         )
 
-    def _in_dedup_group(self, server: Server, pending: PendingRequest) -> bool:
-        """Whether a server drops the repeats of this request, if it is keyed and may have run."""
-        first = pending.first_possibly_run
-        if (
-            first is None
-            or pending.request_class.effect is not Effect.KEYED
-            or pending.request_class.scope is Scope.ALL
-        ):
+    def _in_dedup_group(self, host: ServerState, pending: PendingRequest) -> bool:
+        """Whether a server drops the repeats of this request, if it is keyed and may have run.
+
+        Servers that have changed their group since the request was first sent share no record of it.
+        """
+        first, scope = pending.first_possibly_run, pending.request_class.scope
+        if first is None or pending.request_class.effect is not Effect.KEYED or scope is Scope.ALL:
+            return True
+        if host.info.id == first.server.id:
             return True
-        if pending.request_class.scope is Scope.ZONE:
-            return server.zone == first.server.zone
-        return server.cell == first.server.cell
+        first_host = self._hosts.get(first.server.id)
+        has_first_moved = first_host is not None and first_host.grouped_since > first.sent_at
+        if has_first_moved or host.grouped_since > first.sent_at:
+            return False
+        return in_same_group(scope, first.server, host.info)
 
     def _may_refuse(self, pending: PendingRequest) -> bool:
         """Whether the request may be refused: a refusal says that a retry is safe."""
--- a/whinrouter/interface.py
+++ b/whinrouter/interface.py
@@ -148,19 +148,34 @@
             raise ValueError("ramp_time must not be below 0")
 
 
+UNKNOWN_CELL = -1
+
+
 @dataclass(frozen=True, slots=True)
 class Server:
-    """A server as discovery describes it."""
+    """A server as discovery describes it; an empty zone or kind, or `UNKNOWN_CELL`, is not known."""
 
     id: ServerId
     state: State = State.READY
     zone: str = ""
     kind: str = ""
-    cell: int = 0
+    cell: int = UNKNOWN_CELL
     weight: float = 1.0  # relative; see `Settings.weight_is_capacity`
     started_at: int = 0  # moment of its latest start; 0: long ago
 
 
+def in_same_group(scope: Scope, first: Server, other: Server) -> bool:
+    """Whether `other` drops repeats of a keyed request that `first` may have run.
+
+    A server whose group is not known shares its record of keys with itself alone.
+    """
+    if scope is Scope.ALL or first.id == other.id:
+        return True
+    if scope is Scope.ZONE:
+        return first.zone != "" and first.zone == other.zone
+    return first.cell != UNKNOWN_CELL and first.cell == other.cell
+
+
 # Events
 
 
--- a/whinrouter/invariants/lifecycle.py
+++ b/whinrouter/invariants/lifecycle.py
@@ -18,7 +18,7 @@
 
 from enum import Enum
 
-from whinrouter.interface import MS, Effect, Outcome, RequestClass, Scope, Server, Settings
+from whinrouter.interface import MS, Effect, Outcome, RequestClass, Scope, Server, Settings, in_same_group
 from whinrouter.invariants.events import NO_REQUEST, EventKind, EventRing
 from whinrouter.invariants.violations import Invariant, Violations
 
@@ -190,12 +190,7 @@
         if request_class.effect is Effect.IDEMPOTENT:
             return True
         is_remembered = now < lifecycle.first_sent + request_class.dedup_window
-        if request_class.scope is Scope.ALL:
-            return is_remembered
-        is_same_group = (
-            server.zone == first.zone if request_class.scope is Scope.ZONE else server.cell == first.cell
-        )
-        return is_remembered and is_same_group
+        return is_remembered and in_same_group(request_class.scope, first, server)
 
     def attempt_ended(
         self, lifecycle: RequestLifecycle, attempt: int, has_begun: bool, outcome: Outcome, now: int
--- a/whinrouter/net/discovery.py
+++ b/whinrouter/net/discovery.py
@@ -16,7 +16,7 @@
 import httptools
 import orjson
 
-from whinrouter.interface import MS, Server, State
+from whinrouter.interface import MS, UNKNOWN_CELL, Server, State
 from whinrouter.membership.json_stream import DocumentSplitter
 from whinrouter.membership.retry_policy import QUEUED_SECONDS, RetryPolicy
 from whinrouter.net.connect import open_connection
@@ -44,13 +44,17 @@
         state=_STATES.get(str(entry.get("phase")), State.DRAINING),
         zone=str(entry.get("locality") or ""),
         kind=str(entry.get("flavor") or ""),
-        cell=int(entry.get("cell") or 0),
+        cell=_cell(entry.get("cell")),
         weight=float(entry.get("size") or 1.0),
         started_at=int(entry.get("up_since_ms") or 0) * MS,
     )
     return Member(server, (host, int(port)))
 
 
+def _cell(listed: Any) -> int:
+    return UNKNOWN_CELL if listed is None or listed == "" else int(listed)
+
+
 class _WatchConnection(asyncio.Protocol):
     """One connection to discovery: passes on each list that arrives, and detects silence.
 
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -395,13 +395,16 @@
         removed = [server for server in self._hosts if server not in listed] if complete else []
         for server, member in listed.items():
             known = self._hosts.get(server)
+            if known is None:
+                continue
             # The connections of a restarted host are dead, even if no reset ever arrived over them.
-            if known is not None and (
-                member.server.state is not State.READY
-                or (known.member.address, known.member.server.started_at)
-                != (member.address, member.server.started_at)
-            ):
+            if member.server.state is not State.READY or (
+                known.member.address,
+                known.member.server.started_at,
+            ) != (member.address, member.server.started_at):
                 removed.append(server)
+            else:
+                known.member = member
         hosts = [self._hosts.pop(server) for server in removed]
         for server, member in listed.items():
             if member.server.state is State.READY and server not in self._hosts:
--- a/whinrouter/server_state.py
+++ b/whinrouter/server_state.py
@@ -52,6 +52,7 @@
     latency_ratio_at: int = 0  # moment of its last update
     capacity: float = 1.0  # relative to the other servers
     class_breakers: dict[str, ClassBreaker] = field(default_factory=dict)  # by announced class
+    grouped_since: int = 0  # moment of the last change of its zone or cell; 0: none since its start
 
     def export_state(self, now: int) -> LearnedServerState:
         """Return the state that a successor of the balancer needs, with all moments as spans from now."""
--- a/whinrouter/wire.py
+++ b/whinrouter/wire.py
@@ -7,6 +7,7 @@
 
 from whinrouter.interface import (
     SECOND,
+    UNKNOWN_CELL,
     Action,
     AttemptEnded,
     Cancel,
@@ -114,7 +115,7 @@
         state=_STATES.get(entry.get("stageState") or "", State.DRAINING),
         zone=str(entry.get("regionPart") or ""),
         kind=str(entry.get("sku") or ""),
-        cell=int(entry.get("group") or 0),
+        cell=UNKNOWN_CELL if entry.get("group") is None else int(entry["group"]),
         weight=float(entry.get("rating") or 1.0),
         started_at=int(entry.get("readyAt") or 0),
     )
