Let a host file give zone and cell, and warn where a keyed class's group is not known

An operator has to be able to tell the groups, and to see that they lack.

Change: a line of a host file may end in zone=NAME and cell=NUMBER (operator/host_lines.py; a line with anything else is refused as before, and the list in hand stays).

Test: tests/test_hostfile.py, tests/operator/test_cli.py (eight files of hosts by group). The check of a line moved from sidecar.py; its test calls the new function and expects what it expected.

--- a/tests/operator/test_cli.py
+++ b/tests/operator/test_cli.py
@@ -58,6 +58,44 @@
     assert [Path(entry["file"]).name for entry in output["files"]] == ["app.toml", "bad.toml"]
 
 
+KEYED_CLASS = """
+[[class]]
+name = "mark-read"
+effect = "keyed"
+remembered = "10s"
+"""
+
+
+@pytest.mark.parametrize(
+    ("hosts", "group", "is_warned"),
+    [
+        ("127.0.0.1:7001\n127.0.0.1:7002\n", "cell", True),
+        ("127.0.0.1:7001 cell=1\n127.0.0.1:7002 zone=a\n", "cell", True),
+        ("127.0.0.1:7001 cell=1\n127.0.0.1:7002 zone=a\n", "zone", True),
+        ("127.0.0.1:7001 cell=0\n127.0.0.1:7002 cell=0\n", "cell", False),
+        ("127.0.0.1:7001 zone=a\n127.0.0.1:7002 zone=b\n", "zone", False),
+        ("127.0.0.1:7001\n127.0.0.1:7002\n", "all", False),
+        ("127.0.0.1:7001\n", "cell", False),
+        ("nothing that is a host\n", "cell", False),
+    ],
+)
+def test_check_warns_of_a_keyed_class_whose_group_the_hosts_lack(
+    folder: Path, capsys: pytest.CaptureFixture[str], hosts: str, group: str, is_warned: bool
+) -> None:
+    """Such a file is good: what may have run is not repeated, which callers see as failures."""
+    (folder / "hosts").write_text(hosts)
+    path = folder / "keyed.toml"
+    discovery = f'[discovery]\nsource = "file"\nfile = "{folder}/hosts"\nhosts = []\n'
+    path.write_text(f'include = ["base.toml"]\n{discovery}{KEYED_CLASS}group = "{group}"\n')
+    status = main(["sidecar", "check", str(path)])
+    output = capsys.readouterr().out
+    assert status == EXIT_OK, output
+    line = path.read_text().splitlines().index(f'group = "{group}"') + 1
+    assert (f"warning: {path}:{line}: class.mark-read.group [unknown-group] " in output) == is_warned
+    assert main(["sidecar", "check", "--json", str(path)]) == EXIT_OK
+    assert bool(json.loads(capsys.readouterr().out)["warnings"]) == is_warned
+
+
 def test_explain_shows_values_with_their_origin(folder: Path, capsys: pytest.CaptureFixture[str]) -> None:
     path = folder / "app.toml"
     assert main(["sidecar", "explain", str(path), "limits"]) == EXIT_OK
--- a/tests/test_hostfile.py
+++ b/tests/test_hostfile.py
@@ -8,18 +8,19 @@
 import pytest
 
 from tests.peers import async_test
+from whinrouter.interface import UNKNOWN_CELL
 from whinrouter.net.connect import Listener
 from whinrouter.net.hostfile import HostFile
 from whinrouter.net.hosts import HostList
 from whinrouter.operator.checks import RESERVED_SOCKETS
 from whinrouter.program import RESERVED_DESCRIPTORS
-from whinrouter.sidecar import _parse_host
+from whinrouter.sidecar import _parse_host_file
 
 
 def test_malformed_missing_or_unchanged_file_brings_no_list(tmp_path: Path) -> None:
     lists: list[HostList] = []
     path = tmp_path / "hosts"
-    hosts = HostFile(str(path), _parse_host, lists.append)
+    hosts = HostFile(str(path), _parse_host_file, lists.append)
     path.write_text("# the fleet\n127.0.0.1:7001\n")
     hosts._poll_once()
     for text in ("", "# nobody\n", "127.0.0.1\n", "unix:/run/x.sock\n", "127.0.0.1:7001 7002\n"):
@@ -40,6 +41,35 @@
     assert [member.address for member in lists[-1].members] == [("127.0.0.1", 7002)]
 
 
+def test_a_host_file_gives_the_zone_and_cell_of_its_hosts(tmp_path: Path) -> None:
+    lists: list[HostList] = []
+    path = tmp_path / "hosts"
+    hosts = HostFile(str(path), _parse_host_file, lists.append)
+    text = "127.0.0.1:7003\n127.0.0.1:7002 cell=0 # x\n127.0.0.1:7001 zone=a cell=3\n127.0.0.1:7004 zone=b"
+    path.write_text(text)
+    hosts._poll_once()
+    groups = [(member.server.zone, member.server.cell) for member in lists[-1].members]
+    assert groups == [("a", 3), ("", 0), ("", UNKNOWN_CELL), ("b", UNKNOWN_CELL)]
+    path.write_text(text.replace("cell=3", "cell=4"))
+    hosts.move(str(path))
+    hosts._poll_once()
+    assert lists[-1].members[0].server.cell == 4
+    assert len(lists) == 2
+
+
+MALFORMED_ATTRIBUTES = (
+    *("cell=", "cell=-1", "cell=x", "cell=3000000000", "cell=\u0663", "cell=1 cell=1"),
+    *("zone=", "zone=a zone=a", "zone=" + 200 * "a"),
+    *("hall=a", "a", "\n127.0.0.1:7001 cell=2"),
+)
+
+
+@pytest.mark.parametrize("attributes", MALFORMED_ATTRIBUTES)
+def test_a_host_with_attributes_of_another_form_is_refused(attributes: str) -> None:
+    with pytest.raises(ValueError, match="is no host"):
+        _parse_host_file(f"127.0.0.1:7001 {attributes}")
+
+
 @async_test
 async def test_listener_closed_while_opening_does_not_listen() -> None:
     """An application that exits right after it was found must not leave its sidecar listening."""
--- a/tests/test_keyed_groups.py
+++ b/tests/test_keyed_groups.py
@@ -31,7 +31,7 @@
     Update,
 )
 from whinrouter.net.discovery import parse_list
-from whinrouter.net.hostfile import whole_list
+from whinrouter.net.hostfile import member_at
 from whinrouter.net.hosts import HostList
 
 FIRST, OTHER = Server(1, zone="a", cell=7), Server(2, zone="a", cell=7)
@@ -140,8 +140,8 @@
 @async_test
 async def test_hosts_of_which_only_the_address_is_known_are_no_group(scope: Scope, status: int) -> None:
     async with scripted_servers(resets_connection, resets_connection, resets_connection) as hosts:
-        listed = whole_list([("127.0.0.1", host.port) for host in hosts])
-        async with running_gateway(*listed.members, settings=_settings(scope)) as proxy:
+        members = [member_at(("127.0.0.1", host.port)) for host in hosts]
+        async with running_gateway(*members, settings=_settings(scope)) as proxy:
             client = await proxy.client()
             client.writer.write(request_text("order", {"Idempotency-Key": "5c0f"}))
             assert (await client.read_answer()).status == status
--- a/whinrouter/net/hostfile.py
+++ b/whinrouter/net/hostfile.py
@@ -7,7 +7,7 @@
 import os
 from collections.abc import Callable, Iterable
 
-from whinrouter.interface import Server
+from whinrouter.interface import UNKNOWN_CELL, Server
 from whinrouter.net.hosts import HostList, Member, hashed_server_id
 
 log = logging.getLogger(__name__)
@@ -18,32 +18,32 @@
 Address = tuple[str, int]
 
 
-def member_at(address: Address) -> Member:
-    """A host of which only the address is known."""
+def member_at(address: Address, zone: str = "", cell: int = UNKNOWN_CELL) -> Member:
+    """A host of which no more is known than its address and, perhaps, its zone and cell."""
     host, port = address
-    return Member(Server(hashed_server_id(f"{host}:{port}")), address)
+    return Member(Server(hashed_server_id(f"{host}:{port}"), zone=zone, cell=cell), address)
 
 
-def whole_list(addresses: Iterable[Address], revision: int = 1) -> HostList:
-    """A complete list of the hosts at these addresses."""
-    return HostList(revision, True, tuple(map(member_at, addresses)))
+def whole_list(members: Iterable[Member], revision: int = 1) -> HostList:
+    """A complete list of these hosts."""
+    return HostList(revision, True, tuple(members))
 
 
 class HostFile:
-    """A file with the address of one host in each line; `#` begins a comment.
+    """A file that lists one host in each line.
 
     If the file is missing, empty or malformed, the last list stays in force: a file that is being written or
     was lost must not remove all hosts.
     """
 
     def __init__(
-        self, path: str, parse: Callable[[str], Address], on_list: Callable[[HostList], None]
+        self, path: str, parse: Callable[[str], list[Member]], on_list: Callable[[HostList], None]
     ) -> None:
-        """`parse` converts the text of a line to an address, or raises ValueError."""
+        """`parse` converts the text of a file to its hosts, or raises ValueError."""
         self._path, self._parse, self._on_list = path, parse, on_list
         self._version: tuple[int, ...] | None = None  # of the file when it was last read
         self._revision = 0
-        self._last_addresses: list[Address] = []
+        self._last_members: list[Member] = []
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -85,14 +85,10 @@
             data = file.read(MAX_FILE_BYTES + 1)
         if len(data) > MAX_FILE_BYTES:
             raise ValueError(f"{self._path} is larger than {MAX_FILE_BYTES} bytes")
-        addresses = self._parse_lines(data.decode())
-        if not addresses:
+        members = sorted(self._parse(data.decode()), key=lambda member: member.address)
+        if not members:
             raise ValueError(f"{self._path} names no host")
-        if addresses != self._last_addresses:
-            self._last_addresses = addresses
+        if members != self._last_members:
+            self._last_members = members
             self._revision += 1
-            self._on_list(whole_list(addresses, self._revision))
-
-    def _parse_lines(self, text: str) -> list[Address]:
-        lines = (line.partition("#")[0].strip() for line in text.splitlines())
-        return sorted({self._parse(line) for line in lines if line})
+            self._on_list(whole_list(members, self._revision))
--- a/whinrouter/operator/cli.py
+++ b/whinrouter/operator/cli.py
@@ -14,8 +14,11 @@
 from whinrouter.operator.checks import check
 from whinrouter.operator.explain import changes, effective_values
 from whinrouter.operator.findings import Finding
+from whinrouter.operator.groups import group_warnings
 from whinrouter.operator.host import check_host, load_configurations
+from whinrouter.operator.host_lines import MAX_HOST_FILE_BYTES, HostLine, parse_host_lines
 from whinrouter.operator.loading import Loaded, load
+from whinrouter.operator.model import Source
 from whinrouter.operator.values import Address
 from whinrouter.operator.writing import plan_files, read_description, unified_diff, write_files
 
@@ -92,12 +95,21 @@
         else:
             configurations.append(load(path))
     findings = sorted({*findings, *check_host(configurations)})
+    warnings = [
+        warning for loaded in configurations for warning in group_warnings(loaded, _listed_hosts(loaded))
+    ]
     if args.json:
-        files = [{"file": loaded.path, "digest": loaded.digest} for loaded in configurations]
-        print(json.dumps({"files": files, "findings": [finding.as_dict() for finding in findings]}, indent=1))
+        report = {
+            "files": [{"file": loaded.path, "digest": loaded.digest} for loaded in configurations],
+            "findings": [finding.as_dict() for finding in findings],
+            "warnings": [warning.as_dict() for warning in warnings],
+        }
+        print(json.dumps(report, indent=1))
         return EXIT_FINDINGS if findings else EXIT_OK
     for finding in findings:
         print(finding)
+    for warning in warnings:
+        print(f"warning: {warning}")
     if findings:
         print(f"{len(findings)} findings in {len(configurations)} configurations", file=sys.stderr)
         return EXIT_FINDINGS
@@ -106,6 +118,20 @@
     return EXIT_OK
 
 
+def _listed_hosts(loaded: Loaded) -> list[HostLine]:
+    """Return the hosts of a configuration; none if they are not known here."""
+    discovery = loaded.model.discovery
+    if discovery.source is Source.STATIC:
+        return [HostLine(address) for address in discovery.hosts]
+    if discovery.source is not Source.FILE:
+        return []
+    try:
+        with open(discovery.file, "rb") as file:
+            return parse_host_lines(file.read(MAX_HOST_FILE_BYTES).decode())
+    except (OSError, ValueError):  # the sidecar reports it, and goes on with what it has
+        return []
+
+
 def _write(args: argparse.Namespace) -> int:
     description, findings = read_description(args.description)
     if description is None or findings:
--- a/whinrouter/sidecar.py
+++ b/whinrouter/sidecar.py
@@ -6,22 +6,23 @@
 import os
 import resource
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
 
 from whinrouter import signals
-from whinrouter.interface import SECOND, Effect, RequestClass, Scope, Settings
+from whinrouter.interface import SECOND, UNKNOWN_CELL, Effect, RequestClass, Scope, Settings
 from whinrouter.membership.retry_policy import shared_service_policy
 from whinrouter.net.config import ConfigError, inherited_descriptor
 from whinrouter.net.discovery import Discovery
-from whinrouter.net.hostfile import HostFile, whole_list
-from whinrouter.net.hosts import HostList
+from whinrouter.net.hostfile import HostFile, member_at, whole_list
+from whinrouter.net.hosts import HostList, Member
 from whinrouter.net.routes import Route, Routes
 from whinrouter.operator import model as schema
 from whinrouter.operator.checks import check, effective_methods, effective_path
 from whinrouter.operator.explain import changes
+from whinrouter.operator.host_lines import parse_host_lines
 from whinrouter.operator.loading import Loaded, load
 from whinrouter.operator.values import Address
 from whinrouter.program import (
@@ -135,7 +136,7 @@
         listen_address=_host_and_port(listen_address),
         settings=settings(model),
         seed=int.from_bytes(os.urandom(8), "big"),
-        known_hosts=whole_list(map(_host_and_port, model.discovery.hosts))
+        known_hosts=whole_list(_static_members(model.discovery.hosts))
         if is_static
         else HostList(0, True, ()),
         create_host_source=_host_source_factory(model.discovery),
@@ -158,16 +159,22 @@
     return (address.path, 0) if address.path else (address.host, address.port)
 
 
-def _parse_host(line: str) -> tuple[str, int]:
-    address = Address.parse(line)
-    if address.path:
-        raise ValueError(f"{line!r} is no host: it has no port")
-    return _host_and_port(address)
+def _static_members(addresses: Iterable[Address]) -> Iterator[Member]:
+    """Yield the hosts at these addresses; their groups are not known."""
+    return (member_at(_host_and_port(address)) for address in addresses)
+
+
+def _parse_host_file(text: str) -> list[Member]:
+    """Return the hosts that a host file lists; ValueError if a line is no host."""
+    return [
+        member_at(_host_and_port(line.address), line.zone, UNKNOWN_CELL if line.cell is None else line.cell)
+        for line in parse_host_lines(text)
+    ]
 
 
 def _host_source_factory(discovery: schema.Discovery) -> Callable[[Callable[[HostList], None]], HostSource]:
     if discovery.source is schema.Source.FILE:
-        return partial(HostFile, discovery.file, _parse_host)
+        return partial(HostFile, discovery.file, _parse_host_file)
     if discovery.source is schema.Source.SERVICE:
         assert discovery.address is not None
         return partial(Discovery, _host_and_port(discovery.address), 0, retry_policy=SERVICE_RETRY_POLICY)
@@ -197,7 +204,7 @@
     def replace_hosts(self, addresses: list[Address]) -> None:
         """Deliver a list of these hosts in place of the one before."""
         self._revision += 1
-        self._deliver(whole_list(map(_host_and_port, addresses), self._revision))
+        self._deliver(whole_list(_static_members(addresses), self._revision))
 
 
 class _Reloader:
