--- a/whinrouter/handover/coordinator.py
+++ b/whinrouter/handover/coordinator.py
@@ -118,6 +118,7 @@
     is_replaced: bool = False  # a newer process serves
     is_serving: bool = False
     _snapshot: asyncio.Future[Snapshot | None] | None = None
+    _is_restored: bool = False  # the older process's state is in force here
     _peer_listener: PeerListener | None = None
     _tasks: set[asyncio.Task[object]] = field(default_factory=set)
     _older_descriptors: int = 0  # descriptors that the older process still holds
@@ -145,15 +146,19 @@
                 log.warning("handover: who is asked ended the line, as for a stranger; starting from nothing")
             self.older_peer.close()
             self.older_peer = None
-        if snapshot is None:
-            return None
+        return snapshot if self._is_restored else None
+
+    def _take_snapshot(self, snapshot: Snapshot) -> None:
+        """Restore the older process's state at once: calls that follow in the same read change that state."""
+        if self._snapshot is None or self._snapshot.done():
+            return
         try:
             self._restore(snapshot)
+            self._is_restored = True
         except Exception:  # the start must not fail on the state of another version
             log.exception("handover: cannot restore the older process's state; starting without it")
             self.controller.restore({}, {}, {}, self.controller.now())
-            return None
-        return snapshot
+        self._snapshot.set_result(snapshot)
 
     def _restore(self, snapshot: Snapshot) -> None:
         now = self.controller.now()
@@ -273,8 +278,7 @@
         if isinstance(message, Hello):
             self._send_snapshot(peer, message)
         elif isinstance(message, Snapshot):
-            if self._snapshot is not None and not self._snapshot.done():
-                self._snapshot.set_result(message)
+            self._take_snapshot(message)
         elif isinstance(message, Ready):
             self._start_task(self._yield_to_newer(peer))
         elif isinstance(message, Holding):
