Take out a host that the other process does not list yet

What operators saw: over an upgrade, an OFFLINE for a host that only one of the two processes had listed was answered +OK there, refused at the other ("nobody has the id") and so lost with the older process.

Cause: a call that the other process has answered was checked against the list here once more.

Change: such a call holds here too: the host is taken out before it is listed; ONLINE for one that is not out needs nothing. The limit on hosts out stays.

Test: tests/handover/test_shared_calls.py, the host that is taken out before it is listed; it failed before.

--- a/tests/handover/test_shared_calls.py
+++ b/tests/handover/test_shared_calls.py
@@ -24,7 +24,7 @@
 from whinrouter.operations.controller import OperationsController
 
 HELLO = Hello("n0", "127.0.0.1:8080", 7)
-LISTED, OUT = "s-1", "s-2"
+LISTED, OUT, UNLISTED = "s-1", "s-2", "s-3"
 REVISION = 5
 
 
@@ -145,3 +145,14 @@
     async with _newer_process(tmp_path) as newer:
         await _restore(newer, data)
         _assert_holds(newer, Ready())
+
+
+@async_test
+async def test_a_host_that_is_taken_out_before_it_is_listed_here_is_out_once_it_is(tmp_path: Path) -> None:
+    """The older process has it from a later list."""
+    async with _newer_process(tmp_path) as newer:
+        calls = encode_frame(Called("OFFLINE", UNLISTED)), encode_frame(Called("ONLINE", "s-4"))
+        await _restore(newer, encode_frame(_snapshot(False)), *calls)
+        newer.controller.apply_list(HostList(REVISION + 1, False, (_member(UNLISTED), _member("s-4"))))
+        assert newer.state(UNLISTED) is State.DRAINING
+        assert newer.state("s-4") is State.READY
--- a/whinrouter/handover/coordinator.py
+++ b/whinrouter/handover/coordinator.py
@@ -292,7 +292,7 @@
 
     def _apply_call(self, peer: PeerConnection, message: Called) -> None:
         try:
-            self.controller.execute(message.name, message.argument)
+            self.controller.execute_for_peer(message.name, message.argument)
             log.info("handover: %s %s, as called at the other process", message.name, message.argument)
         except CallRefusedError as error:
             log.warning("handover: %s %s: %s", message.name, message.argument, error)
--- a/whinrouter/operations/controller.py
+++ b/whinrouter/operations/controller.py
@@ -70,12 +70,25 @@
             self.share_call(name, argument)
         return answer
 
-    def _take_out_or_put_back(self, name: str, host_id: str) -> str:
+    def execute_for_peer(self, name: str, argument: str) -> None:
+        """Carry out a call that the other process has answered, so that it holds here as well.
+
+        A host that is not listed here yet is taken out all the same; one to be put back that is not out needs
+        nothing. CallRefusedError if the call can't hold here.
+        """
+        if name == "OFFLINE":
+            self._take_out_or_put_back(name, argument, must_be_listed=False)
+        elif name != "ONLINE" or hashed_server_id(argument) in self.maintenance.taken_out_at:
+            self.execute(name, argument)
+
+    def _take_out_or_put_back(self, name: str, host_id: str, must_be_listed: bool = True) -> str:
         """Carry out OFFLINE or ONLINE for a host, by its id in discovery."""
         server_id, now = hashed_server_id(host_id), self.now()
-        operation = self.maintenance.take_out if name == "OFFLINE" else self.maintenance.put_back
         try:
-            changed = operation(server_id, now)
+            if name == "OFFLINE":
+                changed = self.maintenance.take_out(server_id, now, must_be_listed)
+            else:
+                changed = self.maintenance.put_back(server_id, now)
         except UnknownHostError:
             raise CallRefusedError(f"nobody has the id {host_id}") from None
         members = tuple(Member(server, self.members[server.id].address) for server in changed)
--- a/whinrouter/operations/maintenance.py
+++ b/whinrouter/operations/maintenance.py
@@ -66,19 +66,19 @@
             return server
         return replace(server, started_at=put_back_at)
 
-    def take_out(self, server_id: ServerId, now: int) -> tuple[Server, ...]:
-        """Return the changed server; an empty tuple if it was out already.
+    def take_out(self, server_id: ServerId, now: int, must_be_listed: bool = True) -> tuple[Server, ...]:
+        """Return the changed server; an empty tuple if it was out already or is not listed.
 
-        UnknownHostError if it is not listed, or if `MAX_HOSTS_OUT` hosts are out.
+        UnknownHostError if it must be listed and is not, or if `MAX_HOSTS_OUT` hosts are out.
         """
         if server_id in self.taken_out_at:
             return ()
         server = self.listed.get(server_id)
-        if server is None or len(self.taken_out_at) >= MAX_HOSTS_OUT:
+        if (server is None and must_be_listed) or len(self.taken_out_at) >= MAX_HOSTS_OUT:
             raise UnknownHostError
         self.taken_out_at[server_id] = now
         self.put_back_at.pop(server_id, None)
-        return (self._effective_server(server),)
+        return (self._effective_server(server),) if server is not None else ()
 
     def put_back(self, server_id: ServerId, now: int) -> tuple[Server, ...]:
         """Return the changed server; an empty tuple if it was not out or is not listed.
