Time the next head of an adopted connection from its first byte

Cause: an adopted connection counted as a new one, whose first head is timed from the connection's start.

Change: it continues as behind an answer: idle, and the next head has its own 2.4 s.

Test: tests/test_frontend.py, the next head of an adopted connection: its case of an idle one failed before.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -126,6 +127,30 @@
         assert first_deadline < connection.wait_deadline < asyncio.get_running_loop().time() + 10.0
 
 
+@pytest.mark.parametrize("received", [0, 30])
+@async_test
+async def test_the_next_head_of_an_adopted_connection_has_a_receive_timeout_of_its_own(received: int) -> None:
+    """An idle connection from an older process was taken for a new one: a head of 1.9 s was answered 408."""
+    async with scripted_servers(answers_with()) as (host,), running_gateway(host.member()) as proxy:
+        client_end, gateway_end = socket.socketpair()
+        adopted = proxy.frontend.adopt_connection(gateway_end, b"")
+        client = Client(*await asyncio.open_connection(sock=client_end))
+        first_deadline, now = adopted.wait_deadline, asyncio.get_running_loop().time
+        await asyncio.sleep(0.05)
+        text = request_text()
+        adopted.resume_input(text[:received])
+        begun_after = now()
+        client.writer.write(text[received:60])
+        await wait_until(lambda: adopted._request_reader.has_begun)
+        if received:  # it is not known when this head began
+            assert adopted.wait_deadline >= first_deadline
+        else:
+            assert adopted.wait_deadline >= begun_after + frontend.RECEIVE_TIMEOUT_SECONDS
+        client.writer.write(text[60:])
+        assert (await client.read_answer()).status == 200
+        client.close()
+
+
 @async_test
 async def test_each_of_overlapping_requests_has_its_own_receive_timeout(
     monkeypatch: pytest.MonkeyPatch,
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -624,6 +624,10 @@
     def resume_input(self, incoming: bytes) -> None:
         """Continue an adopted connection with the bytes that the other process read and did not use."""
         self._awaits_first_bytes = False
+        # It is no new connection, whose first head is timed from its start: the next head is timed from its
+        # own first byte, as behind an answer.
+        self._timed_message = self._request_reader.message_count
+        self._start_waiting(IDLE_TIMEOUT_SECONDS)
         # The unsent bytes may be the end of a long answer, for which a slow reader needs time.
         self._had_streamed_answer = self.unsent_bytes > 0
         self.thaw()
