Compare a streamed answer's flow by its declared type in compiled code

Cause: attach can set _answer_flow to None, but the attribute is narrowed to the flow that it was set to above, and compiled code checks that type when it is read again.

Change: the comparison reads the property.

Test: tests/test_frontend.py, the streamed answer that may end while it is started: TypeError on the package that was compiled before. Other attributes that are narrowed and read behind a call were looked at: none can become None.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -261,6 +261,17 @@
         self.writer.write(request_text(class_name, headers, body))
         return await self.read_answer()
 
+    async def read_bytes_until(self, end: bytes) -> bytes:
+        """Read until these bytes have arrived; return all bytes that were read."""
+        text = bytearray()
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            while not text.endswith(end):
+                data = await self._reader.read(65536)
+                if not data:
+                    raise ConnectionError("the connection ended early")
+                text += data
+        return bytes(text)
+
     async def read_to_end(self) -> bytes:
         """Read until the gateway closes the connection; return all bytes that were read."""
         async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -30,8 +30,9 @@
 from whinrouter.interface import MS
 from whinrouter.net import frontend
 from whinrouter.net.frontend import MAX_SURPLUS_CONNECTIONS
-from whinrouter.net.gateway import ClientRequest
+from whinrouter.net.gateway import Answer, ClientRequest
 from whinrouter.net.http import RequestReader
+from whinrouter.streaming.flow import Flow
 
 
 @pytest.mark.parametrize(
@@ -501,6 +502,37 @@
         assert (client_request.cost, client_request.is_retry) == (0, False)
 
 
+class _FinishedSource:
+    """The source of a body that has been read completely."""
+
+    def pause_reading(self) -> None:
+        """Ignore the call."""
+
+    resume_reading = cancel_reading = pause_reading
+
+
+@async_test
+async def test_a_streamed_answer_may_end_while_it_is_started_and_its_client_does_not_read() -> None:
+    """Compiled code raised a TypeError here: an attribute that had become None was read as a flow."""
+    body, rest = bytes(4 * 1024 * 1024), b"the rest"
+    async with scripted_servers(never_answers) as (host,), running_gateway(host.member()) as proxy:
+        client = await proxy.client()
+        client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        client.writer.write(request_text())
+        await wait_until(lambda: host.requests)
+        (connection,) = proxy.frontend.connections
+        flow = Flow(_FinishedSource(), len(body) + len(rest), 0.0, 10.0, 0.0)
+        flow.put(rest, 0.0)
+        flow.end()
+        connection._send_answer(Answer(200, [], body, flow))
+        assert connection.unsent_bytes > 0
+        assert connection.answer_flow is None
+        client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        text = await client.read_bytes_until(rest)
+        assert text.endswith(b"\r\n\r\n" + body + rest)
+        client.close()
+
+
 @async_test
 async def test_unread_answers_stop_the_processing_of_requests() -> None:
     async with (
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -964,7 +964,9 @@
         if answer.body:
             self.write_body(answer.body)
         body_flow.attach(self, self._loop.time())
-        if self._is_writing_paused and self._answer_flow is body_flow:
+        # `attach` may have ended the answer. The property is read, as compiled code takes the attribute for
+        # the flow that it was set to above.
+        if self._is_writing_paused and self.answer_flow is body_flow:
             body_flow.sink_full(self._loop.time())
 
     def _finish_streamed_answer(self) -> None:
