Write no 100 Continue behind a rejection

Cause: the next head in the same read was tracked like any other, though the rejection had ended output and input.

Change: nothing is tracked once input is ignored.

Test: tests/test_frontend.py, 100 Continue behind a rejection; the RuntimeError was raised before.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -433,6 +433,21 @@
         assert host.requests[0].body == b"12"
 
 
+@async_test
+async def test_100_continue_is_not_written_behind_a_rejection() -> None:
+    """It was written after the end of the output, which raised an error in the loop."""
+    errors: list[dict[str, object]] = []
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+    async with scripted_servers(answers_with()) as (host,), running_gateway(host.member()) as proxy:
+        client = await proxy.client()
+        expecting = request_text("chapter-buy", {"Expect": "100-continue"}, b"coins").removesuffix(b"coins")
+        client.writer.write(request_text("unknown") + expecting)
+        assert (await client.read_answer()).status == 400
+        assert await client.read_to_end() == b""
+        assert not errors
+        client.close()
+
+
 @async_test
 async def test_up_is_503_until_there_is_a_host_list() -> None:
     async with scripted_servers(answers_with()) as (host,), running_gateway() as proxy:
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -743,7 +743,8 @@
         """Set the deadline for the message that is being received, and send 100 Continue if it is awaited."""
         if self._is_lingering:
             self._extend_deadline(byte_count)
-        if self._is_busy or self._is_lingering or not self._request_reader.has_begun:
+        is_ignored = self._is_input_ignored or self._is_lingering
+        if self._is_busy or is_ignored or not self._request_reader.has_begun:
             return
         now = self._loop.time()
         if self._request_reader.message_count > self._timed_message:
