Review case 8: a chunked answer is cut off when its host stands still for 0.45 s

A chunked answer that takes longer than a second is passed on before it is whole, and then its host may be silent for 0.2 s only. Hosts stand still for 150 to 450 ms in ordinary service.

Change: the case with its claim. Nothing is fixed.

--- /dev/null
+++ b/review/8/case.py
@@ -0,0 +1,78 @@
+"""Hosts answer in chunks, in small pieces, and stand still for a moment in the middle.
+
+Each answer has 24 chunks of 1 KiB, one every 0.1 s, and so is whole after 2.4 s, well within the 6 s
+that its client waits. With the trouble the host stands still once for 0.45 s behind the 13th piece, and
+goes on. The rule is broken if a client gets no whole answer although its host gave one in time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections import Counter
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "tools"))
+
+from rig import Case, Client, Host, Request, play, request_class, settings
+
+HOSTS = 3
+CLIENTS = 6
+REQUESTS = 8  # of each client, one behind the other
+PIECES = 24
+PIECE = b"x" * 1024
+PIECE_SECONDS = 0.1  # between two pieces
+STILL_AFTER = 13  # pieces
+STILL_SECONDS = 0.45  # the pages have 150 to 450 ms
+DEADLINE_SECONDS = 6.0
+
+
+async def body(case: Case) -> None:
+    """Play the case."""
+    finished: Counter[str] = Counter()
+
+    async def serve(host: Host, request: Request, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for number in range(1, PIECES + 1):
+            writer.write(b"%x\r\n%b\r\n" % (len(PIECE), PIECE))
+            stands_still = case.trouble and number == STILL_AFTER
+            await asyncio.sleep(STILL_SECONDS if stands_still else PIECE_SECONDS)
+            if writer.is_closing():
+                case.note(f"{host.name}: the gateway closed under {request.request_id}, piece {number}")
+                return
+        writer.write(b"0\r\n\r\n")
+        finished[request.request_id] += 1
+
+    hosts = [Host(f"s-{number}", serve) for number in range(HOSTS)]
+    for host in hosts:
+        await host.start()
+        case.discovery.members[host.name] = host.member()
+    await case.discovery.start()
+    inbox = request_class("inbox-list", "idempotent", DEADLINE_SECONDS)
+    case.start_gateway(case.write_config(settings([inbox])))
+    await case.wait_until_up()
+
+    endings: Counter[str] = Counter()
+
+    async def read(client_number: int) -> None:
+        loop = asyncio.get_running_loop()
+        for number in range(REQUESTS):
+            request_id = f"c{client_number}-{number}"
+            lines = [f"X-Request-Id: {request_id}", "X-Class: inbox-list", f"X-Deadline: {DEADLINE_SECONDS}"]
+            began = loop.time()
+            try:
+                async with Client(case.listen_port) as client:
+                    status, text = await client.ask("GET", "/inbox-list/1", lines)
+                ending = f"{status}" if status != 200 or len(text) == PIECES * len(PIECE) else "short"
+            except (OSError, asyncio.IncompleteReadError) as error:
+                ending = "cut off"
+                case.breaks_rule(
+                    f"{request_id}: cut off after {loop.time() - began:.2f} s ({type(error).__name__})"
+                )
+            endings[ending] += 1
+
+    await asyncio.gather(*map(read, range(CLIENTS)))
+    case.note(f"{sum(endings.values())} requests: {dict(endings)}; whole at the hosts: {len(finished)}")
+
+
+play(__file__, body)
