--- a/review/tools/rig.py
+++ b/review/tools/rig.py
@@ -418,9 +418,10 @@
             await body(case)
 
     could_run = True
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         asyncio.run(main())
-    except (CannotRunError, OSError, TimeoutError) as error:
+    except BaseException as error:  # whatever it is, the processes that were started must end
         case.note(f"could not run: {type(error).__name__}: {error}")
         could_run = False
     code = case.finish()
