--- a/review/tools/rig.py
+++ b/review/tools/rig.py
@@ -255,6 +255,8 @@
         self.discovery = Discovery()
         self.listen_port = free_port()
         self._listener: socket.socket | None = None
+        reserved = os.open(os.devnull, os.O_RDONLY)  # so that no stand-in's socket gets this number
+        os.dup2(reserved, LISTENER_DESCRIPTOR, inheritable=False)
 
     def note(self, text: str) -> None:
         """Add a line with the time since the start to the record."""
