Review cases 8 and 10: leave a slow machine more room without the disruption

Need: a script must not depend on the kind of machine. Without the disruption, pieces 0.1 s apart came near to the 0.2 s that the gateway allows, and case 10 took a refusal for a broken rule.

Change: case 8 has pieces of half the size twice as often, at the same rate; case 10 without the restart asks only that no answer is cut off.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -92,7 +92,7 @@
             case.note("SIGKILL")
             gateway.kill()
     endings = Counter(await asyncio.gather(*readers))
-    if not case.trouble and set(endings) != {f"200, {PIECES * len(PIECE)} bytes"}:
+    if not case.trouble and endings["no whole answer"]:
         case.breaks_rule("an answer was not whole")
     case.note(f"{len(HEAD_SECONDS)} readers: {dict(endings)}")
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,7 @@
 """Hosts answer in chunks, in small pieces, and stand still for a moment in the middle.
 
-Each answer has 24 chunks of 1 KiB, one every 0.1 s, and so is whole after 2.4 s, well within the 6 s
-that its client waits. With the trouble the host stands still once for 0.45 s behind the 13th piece, and
+Each answer has 48 chunks of 512 bytes, one every 0.05 s, and so is whole after 2.4 s, well within the 6 s
+that its client waits. With the trouble the host stands still once for 0.45 s behind the 26th piece, and
 goes on. The rule is broken if a client gets no whole answer although its host gave one in time.
 """
 
@@ -19,10 +19,10 @@
 HOSTS = 3
 CLIENTS = 6
 REQUESTS = 8  # of each client, one behind the other
-PIECES = 24
-PIECE = b"x" * 1024
-PIECE_SECONDS = 0.1  # between two pieces
-STILL_AFTER = 13  # pieces
+PIECES = 48
+PIECE = b"x" * 512
+PIECE_SECONDS = 0.05  # between two pieces
+STILL_AFTER = 26  # pieces
 STILL_SECONDS = 0.45  # the pages have 150 to 450 ms
 DEADLINE_SECONDS = 6.0
 
