--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,9 +1,9 @@
 """A planned restart while readers who write slowly ask for long answers.
 
-Each reader connects within 0.3 s of SIGTERM and takes up to 1.9 s to write its head. Each answer has 150
-KiB and a length, and its host gives it evenly over 3 s. With the trouble the gateway gets SIGTERM, and
-SIGKILL 2.75 s later. The rule is broken if a request whose last byte came more than 0.75 s after
-SIGTERM, and which a host has got, has no whole answer when SIGKILL comes.
+Each reader connects 0.3 s after SIGTERM and takes up to 1.9 s to write its head. Each answer has 187 KiB and a
+length, and its host gives it at 64 kB a second, 3 s. With the trouble the gateway gets SIGTERM, and SIGKILL
+2.75 s later. The rule is broken if a request whose last byte came more than 0.75 s after SIGTERM, and which a
+host has got, has no whole answer when SIGKILL comes.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 
 HOSTS = 3
 PIECES = 150
-PIECE = b"x" * 1024
+PIECE = b"x" * 1280
 PIECE_SECONDS = 0.02  # between two pieces
 BEFORE_SECONDS = 1.0  # from the start to SIGTERM
 CONNECT_SECONDS = 0.3  # from SIGTERM to the readers' connections; new ones come for 0.2 to 0.4 s
@@ -92,6 +92,7 @@
             case.note("SIGKILL")
             gateway.kill()
     endings = Counter(await asyncio.gather(*readers))
+    case.require(len(got) > len(HEAD_SECONDS) // 2, "hardly a request was sent to a host")
     if not case.trouble and endings["no whole answer"]:
         case.breaks_rule("an answer was not whole")
     case.note(f"{len(HEAD_SECONDS)} readers: {dict(endings)}")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -24,12 +24,12 @@
 PURCHASES = 20
 RESET_EVERY = 4
 BEFORE_SECONDS = 2.0  # from the start to the purchases; SIGHUP never comes in a process's first second
-UPLOAD_SECONDS = 0.8  # that a client takes for a purchase
+PIECE_BYTES, PIECE_SECONDS = 4_000, 0.05  # of a body: 80 kB a second, and a client may have 64 kB
 RELOAD_AFTER_SECONDS = 0.3  # after the first bytes
 WORK_SECONDS = 0.07
 DEADLINE_SECONDS = 2.0
 KEY_SECONDS = 5.0  # for which hosts drop repeats
-BODY = b"one chapter, please"
+BODY = b"x" * 60_000  # that is 0.75 s
 
 
 async def body(case: Case) -> None:
@@ -74,9 +74,12 @@
             f"Content-Length: {len(BODY)}",
         ]
         async with Client(case.listen_port) as client:
-            client.writer.write("\r\n".join(head).encode() + b"\r\n\r\n" + BODY[:-1])
-            await asyncio.sleep(UPLOAD_SECONDS)
-            client.writer.write(BODY[-1:])
+            client.writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
+            loop, began = asyncio.get_running_loop(), asyncio.get_running_loop().time()
+            for start in range(0, len(BODY), PIECE_BYTES):
+                client.writer.write(BODY[start : start + PIECE_BYTES])
+                next_at = began + (start // PIECE_BYTES + 1) * PIECE_SECONDS
+                await asyncio.sleep(max(0.0, next_at - loop.time()))
             status, _ = await client.receive()
         statuses[status] += 1
         case.note(f"b{number} has {status}")
@@ -90,6 +93,7 @@
         gateway.send_signal(signal.SIGHUP)
         case.note("new configuration, SIGHUP")
     await asyncio.gather(*purchases)
+    case.require(any(int(name[1:]) % RESET_EVERY == 0 for name in runs), "no connection was reset")
     twice = [request_id for request_id, count in runs.items() if count > 1]
     case.note(f"{PURCHASES} purchases: {dict(statuses)}; {len(runs)} ran, {len(twice)} of them twice")
     if twice:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,9 @@
-"""Hosts answer in chunks, in small pieces, and stand still for a moment in the middle.
+"""Hosts answer in chunks, in small pieces, and stand still now and then.
 
-Each answer has 48 chunks of 512 bytes, one every 0.05 s, and so is whole after 2.4 s, well within the 6 s
-that its client waits. With the trouble the host stands still once for 0.45 s behind the 26th piece, and
-goes on. The rule is broken if a client gets no whole answer although its host gave one in time.
+Each answer has 48 chunks of 512 bytes, one every 0.05 s. With the trouble each host stands still for 0.4 s
+every 2 s, each at times of its own: whatever it is writing then waits, and goes on. An answer so takes 2.4
+to 3.6 s, well within the 6 s that its client waits. The rule is broken if the gateway ends an answer that its
+host still gives.
 """
 
 from __future__ import annotations
@@ -22,21 +23,30 @@
 PIECES = 48
 PIECE = b"x" * 512
 PIECE_SECONDS = 0.05  # between two pieces
-STILL_AFTER = 26  # pieces
-STILL_SECONDS = 0.45  # the pages have 150 to 450 ms
+STILL_SECONDS, STILL_EVERY_SECONDS = 0.4, 2.0  # the pages have 150 to 450 ms, every 1.5 to 5.6 s
 DEADLINE_SECONDS = 6.0
 
 
 async def body(case: Case) -> None:
     """Play the case."""
     finished: Counter[str] = Counter()
+    loop = asyncio.get_running_loop()
+
+    async def stand_still(host: Host) -> None:
+        offset = int(host.name[2:]) * STILL_EVERY_SECONDS / HOSTS
+        phase = (loop.time() - case_began + offset) % STILL_EVERY_SECONDS
+        if case.trouble and phase < STILL_SECONDS:
+            await asyncio.sleep(STILL_SECONDS - phase)
+
+    case_began = loop.time()
 
     async def serve(host: Host, request: Request, writer: asyncio.StreamWriter) -> None:
+        await stand_still(host)
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         for number in range(1, PIECES + 1):
             writer.write(b"%x\r\n%b\r\n" % (len(PIECE), PIECE))
-            stands_still = case.trouble and number == STILL_AFTER
-            await asyncio.sleep(STILL_SECONDS if stands_still else PIECE_SECONDS)
+            await asyncio.sleep(PIECE_SECONDS)
+            await stand_still(host)
             if writer.is_closing():
                 case.note(f"{host.name}: the gateway closed under {request.request_id}, piece {number}")
                 return
@@ -55,7 +65,6 @@
     endings: Counter[str] = Counter()
 
     async def read(client_number: int) -> None:
-        loop = asyncio.get_running_loop()
         for number in range(REQUESTS):
             request_id = f"c{client_number}-{number}"
             lines = [f"X-Request-Id: {request_id}", "X-Class: inbox-list", f"X-Deadline: {DEADLINE_SECONDS}"]
@@ -72,6 +81,7 @@
             endings[ending] += 1
 
     await asyncio.gather(*map(read, range(CLIENTS)))
+    case.require(endings["200"] + endings["cut off"] > REQUESTS, "hardly a request was served")
     case.note(f"{sum(endings.values())} requests: {dict(endings)}; whole at the hosts: {len(finished)}")
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,6 @@
 """An upgrade of the gateway while 300 readers get long answers.
 
-Each answer has 150 KiB and a length, and its host gives it evenly over 12 s. With the trouble `run` is
+Each answer has 750 KiB and a length, and its host gives it at 64 kB a second, 12 s. With the trouble `run` is
 started again with the same listening socket; at the new process's yes the old one gets SIGTERM, and
 SIGKILL 3.7 s later. The rule is broken if an answer that its host gives is cut off.
 """
@@ -20,7 +20,7 @@
 HOSTS = 6
 READERS = 300  # a third of 1,024 descriptors is 341
 PIECES = 150
-PIECE = b"x" * 1024
+PIECE = b"x" * 5120
 PIECE_SECONDS = 0.08  # between two pieces
 ARRIVAL_SECONDS = 0.01  # between two readers
 KILL_SECONDS = 3.7  # from SIGTERM to SIGKILL
@@ -65,6 +65,7 @@
     for number in range(READERS):
         readers.append(asyncio.create_task(read(number)))
         await asyncio.sleep(ARRIVAL_SECONDS)
+    case.require(not endings, "some readers had no long answer under way")
     if case.trouble:
         control_port = free_port()
         case.start_gateway(config_path, "new", control_port, listener)
@@ -76,6 +77,7 @@
             case.note("SIGKILL to the old process")
             old.kill()
     await asyncio.gather(*readers)
+    case.require(sum(endings.values()) == READERS, "not every reader had an answer")
     case.note(f"{READERS} readers: {dict(endings)}")
 
 
--- a/review/tools/rig.py
+++ b/review/tools/rig.py
@@ -33,6 +33,22 @@
 LISTENER_DESCRIPTOR = 7  # of the clients' listening socket, where the platform holds it
 YES_SECONDS = 6.0  # within which a new process's yes is due in an upgrade
 RULE_BROKEN, RULE_HELD, COULD_NOT_RUN = 1, 0, 2
+END_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)  # that end a script from outside
+# Ends what a script has started if the script is killed and can't do so itself. It holds the processes by
+# descriptors (pidfd_open(2)), which never refer to others.
+_WATCHDOG = """
+import os, signal, sys
+started = []
+for line in sys.stdin:
+    if line == "ended\\n":
+        sys.exit()
+    started.append(os.pidfd_open(int(line)))
+for process in started:
+    try:
+        signal.pidfd_send_signal(process, signal.SIGKILL)
+    except ProcessLookupError:
+        pass
+"""
 
 
 class CannotRunError(Exception):
@@ -255,6 +271,9 @@
         self.discovery = Discovery()
         self.listen_port = free_port()
         self._listener: socket.socket | None = None
+        self._watchdog = subprocess.Popen(
+            [sys.executable, "-c", _WATCHDOG], stdin=subprocess.PIPE, start_new_session=True
+        )
         reserved = os.open(os.devnull, os.O_RDONLY)  # so that no stand-in's socket gets this number
         os.dup2(reserved, LISTENER_DESCRIPTOR, inheritable=False)
 
@@ -273,12 +292,23 @@
         """Start one of the project's programs from the root; its log goes to the temporary folder."""
         with open(self.directory / f"{name}.log", "ab") as log:
             process = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=log, stderr=log, pass_fds=descriptors
+                command,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                pass_fds=descriptors,
             )
         self.processes.append(process)
+        self._tell_watchdog(f"{process.pid}")
         self.note(f"started {name}, process {process.pid}")
         return process
 
+    def _tell_watchdog(self, line: str) -> None:
+        assert self._watchdog.stdin is not None
+        self._watchdog.stdin.write(f"{line}\n".encode())
+        self._watchdog.stdin.flush()
+
     def write_config(self, case_settings: dict[str, Any], name: str = "config.json") -> Path:
         """Write a gateway's configuration, in place of the one before."""
         config = {
@@ -351,6 +381,11 @@
             await asyncio.sleep(0.05)
         raise CannotRunError("the gateway did not come up")
 
+    def require(self, is_played: bool, what: str) -> None:
+        """CannotRunError unless the case was really played; a break that was seen still counts."""
+        if not is_played:
+            raise CannotRunError(what)
+
     async def call(self, port: int, line: str) -> str:
         """Make an operator's call; return the answer's line."""
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -362,12 +397,16 @@
 
     def finish(self) -> int:
         """End all processes, write the record, and return the exit code."""
+        for end_signal in END_SIGNALS:  # nothing may keep this from its end
+            signal.signal(end_signal, signal.SIG_IGN)
         for process in self.processes:
             if process.poll() is None:
                 with contextlib.suppress(OSError):
                     process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+        self._tell_watchdog("ended")
+        self._watchdog.wait()
         logs = []
         for path in sorted(self.directory.glob("*.log")):
             logs += [f"--- {path.name}", *path.read_text(errors="replace").splitlines()[-60:]]
@@ -420,7 +459,8 @@
             await body(case)
 
     could_run = True
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    for end_signal in END_SIGNALS:
+        signal.signal(end_signal, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         asyncio.run(main())
     except BaseException as error:  # whatever it is, the processes that were started must end
