--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,7 +1,7 @@
 """A planned restart while readers who write slowly ask for long answers.
 
-Each reader connects 0.3 s after SIGTERM and takes up to 1.9 s to write its head. Each answer has 187 KiB and a
-length, and its host gives it at 64 kB a second, 3 s. With the trouble the gateway gets SIGTERM, and SIGKILL
+Each reader connects 0.3 s after SIGTERM and takes up to 1.9 s to write its head. Each answer has 187 KiB and
+a length, and its host gives it at 64 kB a second, 3 s. With the trouble the gateway gets SIGTERM, and SIGKILL
 2.75 s later. The rule is broken if a request whose last byte came more than 0.75 s after SIGTERM, and which a
 host has got, has no whole answer when SIGKILL comes.
 """
