Resolve a request's class by its first byte, also while settings change it

Cause: a request is interpreted when it is whole, and RequestClasses.find preferred the class in force wherever the method fits; nothing knew when a request had begun.

Change: a message carries the time of its first byte. A request that began before a change has the deadline of the class in force then. If the class in force allows repeats (effect, group, window) that a class does not allow under which the request may have been sent, it is treated as one of an unknown class and not repeated; requests that begin within the 1.2 s after which clients use changed classes count as possibly sent under the former one. Former classes are kept for each change.

--- a/setup.py
+++ b/setup.py
@@ -29,6 +29,7 @@
     "whinrouter/net/http_messages.py",
     "whinrouter/net/interpreter.py",
     "whinrouter/net/request_classes.py",
+    "whinrouter/net/route_history.py",
     "whinrouter/net/routes.py",
     "whinrouter/net/sockets.py",
     "whinrouter/net/upstream.py",
--- a/tests/handover/test_messages.py
+++ b/tests/handover/test_messages.py
@@ -12,6 +12,7 @@
 from whinrouter.balance import Balancer
 from whinrouter.handover.messages import (
     Called,
+    ClassEntry,
     FrameDecoder,
     Hello,
     Holding,
@@ -45,7 +46,17 @@
 LEARNED = _driver_with_learned_state().balancer.export_state(17 * MS)
 MESSAGES: list[Message] = [
     Hello("n3", "127.0.0.1:9000", 41),
-    Snapshot("127.0.0.1:8500", 41, (HOST,), {2**64 - 1: 5}, {7: 9}, {7: StartAge(17, 3)}, True, LEARNED),
+    Snapshot(
+        "127.0.0.1:8500",
+        41,
+        (HOST,),
+        {2**64 - 1: 5},
+        {7: 9},
+        {7: StartAge(17, 3)},
+        True,
+        LEARNED,
+        classes=(ClassEntry("order", 1, 2**62, "keyed", "cell", 0),),
+    ),
     Ready(),
     Holding(140),
     Called("OFFLINE", "s-1"),
--- a/tests/test_request_classes.py
+++ b/tests/test_request_classes.py
@@ -34,7 +34,7 @@
 
 def _found(classes: RequestClasses, request_class: RequestClass, now: float) -> RequestClass | None:
     method = b"GET" if request_class.effect is Effect.IDEMPOTENT else b"POST"
-    return classes.find(request_class.name.encode(), method, now)
+    return classes.find(request_class.name.encode(), method, now, now)
 
 
 @pytest.mark.parametrize(
--- a/whinrouter/handover/coordinator.py
+++ b/whinrouter/handover/coordinator.py
@@ -42,6 +42,7 @@
 )
 from whinrouter.handover.messages import (
     Called,
+    ClassEntry,
     Executed,
     Hello,
     Holding,
@@ -54,7 +55,7 @@
 from whinrouter.handover.relayed import RelayedAnswer
 from whinrouter.handover.session import Phase
 from whinrouter.handover.transfer import TransferableConnection, TransferReceiver, TransferSender
-from whinrouter.interface import Server, State
+from whinrouter.interface import Effect, RequestClass, Scope, Server, State
 from whinrouter.invariants.events import EventKind
 from whinrouter.net.frontend import ClientConnection, Frontend
 from whinrouter.net.gateway import Gateway
@@ -101,6 +102,25 @@
     return Member(server, (entry.host, entry.port))
 
 
+def encode_class(request_class: RequestClass) -> ClassEntry:
+    """Return a class in the form of the handover messages."""
+    return ClassEntry(
+        request_class.name,
+        request_class.aim,
+        request_class.deadline,
+        request_class.effect.value,
+        request_class.scope.value,
+        request_class.dedup_window,
+    )
+
+
+def decode_class(entry: ClassEntry) -> RequestClass:
+    """Return a class of a handover message; ValueError if its effect or scope is unknown."""
+    return RequestClass(
+        entry.name, entry.aim, entry.deadline, Effect(entry.effect), Scope(entry.scope), entry.dedup_window
+    )
+
+
 @dataclass(slots=True)
 class HandoverCoordinator:
     """One process's side of all handovers: from the older process, and to newer ones."""
@@ -163,14 +183,15 @@
         self._snapshot.set_result(snapshot)
 
     def _restore(self, snapshot: Snapshot) -> None:
-        now = self.controller.now()
+        now, loop_now = self.controller.now(), asyncio.get_running_loop().time()
         self.gateway.record_event(EventKind.TAKEN_OVER, "from an older process")
+        self.frontend.interpreter.classes.add_former(map(decode_class, snapshot.classes), loop_now)
         self.controller.restore(snapshot.out_ages, snapshot.put_back_ages, snapshot.start_ages, now)
         self.controller.apply_list(
             HostList(snapshot.revision, True, tuple(map(decode_member, snapshot.hosts)))
         )
         self.gateway.restore_learned_state(snapshot.learned, NEWER_PROCESS_SHARE, now)
-        self.gateway.executed_requests.add_digests(snapshot.executed or (), asyncio.get_running_loop().time())
+        self.gateway.executed_requests.add_digests(snapshot.executed or (), loop_now)
         if snapshot.executed is not None and self.older_peer is not None:
             self._share_executed_with(self.older_peer)
         if snapshot.is_leaving:
@@ -341,6 +362,7 @@
             peer.close()
             return
         controller, now = self.controller, self.controller.now()
+        open_classes = self.frontend.interpreter.classes.open_classes(asyncio.get_running_loop().time())
         out_ages, put_back_ages = controller.maintenance.ages(now)
         peer.send(
             Snapshot(
@@ -353,6 +375,7 @@
                 not controller.presence.accepts_clients,
                 self.gateway.export_learned_state(now),
                 self.gateway.executed_requests.digests(),
+                tuple(map(encode_class, open_classes)),
             )
         )
         if hello.knows_executed:
--- a/whinrouter/handover/messages.py
+++ b/whinrouter/handover/messages.py
@@ -55,6 +55,17 @@
     started_at: int  # Unix time, as discovery lists it
 
 
+class ClassEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A class of requests: what decides how long a request may take, and whether it may be repeated."""
+
+    name: str
+    aim: int  # microseconds
+    deadline: int  # microseconds
+    effect: str
+    scope: str
+    dedup_window: int  # microseconds
+
+
 class Snapshot(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """The whole state of the older process at the time of the request."""
 
@@ -68,6 +79,8 @@
     learned: LearnedState  # of the decision module
     # Digests of the ids of requests that hosts may have executed; None: from a version without `Executed`.
     executed: tuple[int, ...] | None = None
+    # Classes that requests in progress may have; empty: from a version that does not send them.
+    classes: tuple[ClassEntry, ...] = ()
 
 
 class Ready(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -485,9 +485,15 @@
         if arrived_at is not None:
             self._process_input(data, arrived_at)
 
-    def _process_input(self, data: bytes | memoryview, arrived_at: float) -> None:
-        """Parse input that arrived at this loop time, and start the next request."""
+    def _process_input(
+        self, data: bytes | memoryview, arrived_at: float, began_at: float | None = None
+    ) -> None:
+        """Parse input that arrived at this loop time, and start the next request.
+
+        `began_at`: the time at which a request in it began, if that was earlier.
+        """
         reader, is_full_read = self._request_reader, len(data) >= self._window.size
+        reader.read_at = arrived_at if began_at is None else began_at
         if self._incoming_flow is not None:
             self._incoming_flow.arrival.read(len(data), self._loop.time())
         messages = reader.feed(data)
@@ -759,7 +765,7 @@
         self.thaw()
         now = self._loop.time()
         if incoming:
-            self._process_input(incoming, now)
+            self._process_input(incoming, now, began_at=0.0)  # under the classes of the other process
         if waiting_seconds_left is not None:
             self.wait_deadline = min(self.wait_deadline, now + waiting_seconds_left)
 
--- a/whinrouter/net/http.py
+++ b/whinrouter/net/http.py
@@ -72,6 +72,8 @@
         self.expects_continue = False  # the peer waits for a 100 Continue before it sends the body
         self.has_begun = False  # a part of a message has been read
         self.message_count = 0  # messages that have begun
+        self.read_at = 0.0  # loop time at which the input of the current read arrived; set by the owner
+        self._began_at = 0.0  # loop time at which the first bytes of the current message arrived
         self.pending_bytes = 0  # an upper bound of the bytes read since the last complete message
         self._read_bytes = 0  # bytes of the current read
         self.error: BadMessageError | None = None  # why the input behind the emitted messages is rejected
@@ -164,6 +166,7 @@
         if self._max_messages is not None and len(self._messages) >= self._max_messages:
             raise TooManyMessagesError
         self.has_begun = self._is_in_head = True
+        self._began_at = self.read_at
         self.message_count += 1
         self._target, self._headers, self._body = b"", [], b""
         self._framing_bytes, self._body_length, self._ends_with_connection, self.body_flow = (
@@ -293,6 +296,7 @@
         message = Message(method, self._target, status, self._headers, body, keep_alive)
         self._headers = []
         message.body_flow, message.is_http_1_1 = body_flow, self._is_http_1_1
+        message.began_at = self._began_at
         self._messages.append(message)
 
 
--- a/whinrouter/net/http_messages.py
+++ b/whinrouter/net/http_messages.py
@@ -66,6 +66,7 @@
     headers: Headers = field(default_factory=list)  # names in lower case
     body: bytes = b""
     keep_alive: bool = True
+    began_at: float = 0.0  # loop time at which its first bytes arrived, read or not
     arrived_at: float = 0.0  # loop time at which its last bytes arrived, read or not
     forwarded_head: bytes = b""  # the head as hosts get it, cached when it is first sent
     is_http_1_1: bool = True  # the sender speaks HTTP/1.1 and so understands chunks
--- a/whinrouter/net/interpreter.py
+++ b/whinrouter/net/interpreter.py
@@ -12,7 +12,8 @@
 from whinrouter.interface import SECOND, RequestClass, Settings
 from whinrouter.net.gateway import ClientRequest
 from whinrouter.net.http_messages import BadMessageError, Message
-from whinrouter.net.request_classes import RequestClasses, is_method_allowed
+from whinrouter.net.request_classes import RequestClasses, end_of_acceptance, is_method_allowed
+from whinrouter.net.route_history import RouteHistory
 from whinrouter.net.routes import Routes
 
 MAX_REQUEST_ID_CHARACTERS = 128
@@ -37,8 +38,8 @@
 
     def __init__(self, settings: Settings, routes: Routes | None = None) -> None:
         """`routes`: map paths to classes, for an application whose requests name no class and no id."""
-        self._routes = routes
         self.classes = RequestClasses(settings)
+        self._routes = RouteHistory(routes, self.classes) if routes is not None else None
 
     @property
     def has_routes(self) -> bool:
@@ -50,8 +51,14 @@
 
         `now`: loop time, in seconds.
         """
+        accepted_until = end_of_acceptance(self.classes.longest_deadline, now)
         self.classes.apply_settings(settings, now)
-        self._routes = routes
+        if routes is None:
+            self._routes = None
+        elif self._routes is None:
+            self._routes = RouteHistory(routes, self.classes)
+        else:
+            self._routes.apply_routes(routes, accepted_until, now)
 
     def interpret(self, message: Message, now: float) -> ClientRequest:
         """Return the interpreted request; raise BadMessageError if it is invalid. `now`: loop time."""
@@ -77,9 +84,9 @@
     def _resolve_class(self, message: Message, header_class: bytes | None, now: float) -> RequestClass:
         """Return the class of a request by its path; `header_class`: its X-Class header, which must match."""
         if self._routes is not None:
-            return _route_class(self._routes, message, header_class)
+            return self._routes.find(message, header_class, now)
         path_class = message.target.partition(b"?")[0].strip(b"/").partition(b"/")[0]
-        request_class = self.classes.find(path_class, message.method, now)
+        request_class = self.classes.find(path_class, message.method, message.began_at, now)
         if request_class is None or (header_class is not None and header_class != path_class):
             raise BadMessageError(HTTPStatus.BAD_REQUEST, "the class is unknown")
         if not is_method_allowed(message.method, request_class):
@@ -87,16 +94,6 @@
         return request_class
 
 
-def _route_class(routes: Routes, message: Message, header_class: bytes | None) -> RequestClass:
-    """Return the class to which the routes map the path of a request."""
-    route = routes.find(message.target)
-    if route is None or (header_class is not None and header_class != route.request_class.name.encode()):
-        raise BadMessageError(HTTPStatus.BAD_REQUEST, "the path matches no class")
-    if message.method not in route.methods:
-        raise BadMessageError(HTTPStatus.METHOD_NOT_ALLOWED, "the class requires another method")
-    return route.request_class
-
-
 def _recognized_headers(message: Message) -> dict[bytes, bytes]:
     """Return the headers that the gateway interprets.
 
--- a/whinrouter/net/request_classes.py
+++ b/whinrouter/net/request_classes.py
@@ -1,17 +1,21 @@
 """The classes that requests may have: those of the settings in force and, for a while, former ones.
 
-A class that new settings change or remove is former. Requests of it that were sent before may still arrive:
+A request keeps the class under which its client sent it. The class in force is therefore not enough: a class
+that new settings change or remove is former, and requests of it are still on their way:
 
     IN FORCE --new settings--> ACCEPTED --`accepted_until`--> OPEN --`over_at`--> dropped
 
 While it is accepted, requests that fit no class in force get it. While it is open, requests that were
-accepted can be in progress; the last of them is over at `over_at`. Later settings change none of this, except
-that a class which is removed once more is former from then on. Times are seconds of loop time; no clock, no
-I/O.
+accepted can be in progress; the last of them is over at `over_at`. Later settings change none of this.
+
+A request that began before its class was changed, or so soon afterwards that its client may not have known of
+the change, may be repeated only if each class under which it may have been sent allows the same repeats
+(`resolve_class`). Times are seconds of loop time; no clock, no I/O.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Sequence
 from dataclasses import replace
 from typing import NamedTuple
 
@@ -21,22 +25,29 @@
 # least rate, with its grace (`frontend.py`, `streaming/flow.py`).
 MAX_RECEIVE_SECONDS = 6.5
 MAX_FORMER_CLASSES = 256  # more than some settings of many classes within the longest deadlines
+# Clients use changed classes this long after the gateway was given them.
+CLIENT_ADOPTION_SECONDS = 1.2
 
 
-class _FormerClass(NamedTuple):
-    """How long a class counts that is not in force any more."""
+class FormerClass(NamedTuple):
+    """A class that is not in force any more, and how long it counts."""
 
+    request_class: RequestClass
+    replaced_at: float
     accepted_until: float
     over_at: float  # the time at which the last of its requests is over
 
+    def may_have_been_used(self, began_at: float) -> bool:
+        """Whether a request that began at this time may have been sent under this class."""
+        return began_at < self.replaced_at + CLIENT_ADOPTION_SECONDS
+
 
 class RequestClasses:
     """The classes in force and the former ones whose requests are not all over."""
 
     def __init__(self, settings: Settings) -> None:
         self._in_force = {request_class.name.encode(): request_class for request_class in settings.classes}
-        # The latest removed one is last. Classes of one name that differ are kept apart.
-        self._former: dict[RequestClass, _FormerClass] = {}
+        self._former: list[FormerClass] = []  # the latest replaced one is last
 
     @property
     def longest_deadline(self) -> int:
@@ -49,50 +60,117 @@
     def longest_open_deadline(self, now: float) -> int:
         """Return the time in microseconds within which every request is over that is in progress at `now`."""
         self._drop_closed(now)
-        return max([self.longest_deadline, *(request_class.deadline for request_class in self._former)])
+        return max([self.longest_deadline, *(former.request_class.deadline for former in self._former)])
 
     def apply_settings(self, settings: Settings, now: float) -> None:
         """Put the classes of new settings in force; requests of the former ones are accepted for a while."""
-        self._drop_closed(now)
         new_classes = {request_class.name.encode(): request_class for request_class in settings.classes}
-        accepted_until = now + MAX_RECEIVE_SECONDS + self.longest_deadline / SECOND
-        for name, request_class in self._in_force.items():
-            if new_classes.get(name) != request_class:
-                self._former.pop(request_class, None)
-                over_at = accepted_until + request_class.deadline / SECOND
-                self._former[request_class] = _FormerClass(accepted_until, over_at)
-        while len(self._former) > MAX_FORMER_CLASSES:
-            del self._former[next(iter(self._former))]
+        replaced = [
+            request_class
+            for name, request_class in self._in_force.items()
+            if new_classes.get(name) != request_class
+        ]
+        self._add_former(replaced, self.longest_deadline, now)
         self._in_force = new_classes
 
-    def find(self, name: bytes, method: bytes, now: float) -> RequestClass | None:
-        """Return the class of a request; None if there is none of this name.
+    def add_former(self, replaced: Iterable[RequestClass], now: float) -> None:
+        """Add classes that another process had in force, or as former ones, until `now`.
+
+        The requests that it hands over were sent under them.
+        """
+        changed = [
+            request_class
+            for request_class in replaced
+            if not _has_same_terms(request_class, self._in_force.get(request_class.name.encode()))
+        ]
+        longest_deadline = max([self.longest_deadline, *(entry.deadline for entry in changed)])
+        self._add_former(changed, longest_deadline, now)
+
+    def open_classes(self, now: float) -> list[RequestClass]:
+        """Return the classes that requests in progress may have: the former ones first."""
+        self._drop_closed(now)
+        return [*(former.request_class for former in self._former), *self._in_force.values()]
+
+    def _add_former(self, replaced: Iterable[RequestClass], longest_deadline: int, now: float) -> None:
+        """Add classes that were in force until `now`, with settings of this longest deadline."""
+        self._drop_closed(now)
+        accepted_until = end_of_acceptance(longest_deadline, now)
+        self._former += [
+            FormerClass(request_class, now, accepted_until, accepted_until + request_class.deadline / SECOND)
+            for request_class in replaced
+        ]
+        del self._former[:-MAX_FORMER_CLASSES]
+
+    def find(self, name: bytes, method: bytes, began_at: float, now: float) -> RequestClass | None:
+        """Return the class of a request that began at `began_at`; None if there is none of this name.
 
         The class in force is preferred, but not if only a former one is requested by this method. The class
-        that is returned may require another method. A former class is returned without its name, so that the
-        balancer treats it as an unknown one.
+        that is returned may require another method. It has no name, so that the balancer treats it as an
+        unknown one, if it is a former one or if classes differ under which the request may have been sent.
         """
-        request_class = self._in_force.get(name)
-        if request_class is not None and is_method_allowed(method, request_class):
-            return request_class
-        former = self._find_former(name, method, now)
-        return request_class if former is None else replace(former, name="")
-
-    def _find_former(self, name: bytes, method: bytes, now: float) -> RequestClass | None:
-        """Return the latest removed class with this name and method that is still accepted."""
-        for request_class, former in reversed(self._former.items()):
-            if (
-                former.accepted_until > now
-                and request_class.name.encode() == name
-                and is_method_allowed(method, request_class)
-            ):
-                return request_class
-        return None
+        in_force = self._in_force.get(name)
+        former = [
+            entry for entry in self.former_named(name) if is_method_allowed(method, entry.request_class)
+        ]
+        if in_force is not None and is_method_allowed(method, in_force):
+            return resolve_class(in_force, former, began_at)
+        accepted = [entry.request_class for entry in former if entry.accepted_until > now]
+        return replace(accepted[-1], name="") if accepted else in_force
+
+    def former_named(self, name: bytes) -> list[FormerClass]:
+        """Return the former classes of this name, the latest replaced one last."""
+        if not self._former:
+            return []
+        return [entry for entry in self._former if entry.request_class.name.encode() == name]
 
     def _drop_closed(self, now: float) -> None:
         """Drop the former classes whose last request is over."""
-        for request_class in [key for key, former in self._former.items() if former.over_at <= now]:
-            del self._former[request_class]
+        self._former = [former for former in self._former if former.over_at > now]
+
+
+def end_of_acceptance(longest_deadline: int, now: float) -> float:
+    """Return until when requests of settings that are replaced `now` may arrive.
+
+    `longest_deadline`: of these settings, in microseconds.
+    """
+    return now + MAX_RECEIVE_SECONDS + longest_deadline / SECOND
+
+
+def resolve_class(in_force: RequestClass, former: Sequence[FormerClass], began_at: float) -> RequestClass:
+    """Return the class of a request that fits a class in force and perhaps former ones.
+
+    `former`: in the order in which they were replaced; `began_at`: when the first byte of the request came.
+    The deadline is that of the class in force at that time. The class has no name if repeats that the class
+    in force allows may not have been allowed when the request was sent.
+    """
+    candidates = [entry for entry in former if entry.may_have_been_used(began_at)]
+    if not candidates:
+        return in_force
+    earlier = [entry.request_class for entry in candidates if entry.replaced_at > began_at]
+    resolved = in_force
+    if earlier:
+        resolved = replace(in_force, deadline=earlier[0].deadline)
+    may_be_repeated = in_force.effect is not Effect.AT_MOST_ONCE
+    rule = _repeat_rule(in_force)
+    if may_be_repeated and any(_repeat_rule(entry.request_class) != rule for entry in candidates):
+        resolved = replace(resolved, name="")
+    return resolved
+
+
+def _repeat_rule(request_class: RequestClass) -> tuple[object, ...]:
+    """Return what decides whether, where and when a request of a class may be repeated."""
+    if request_class.effect is Effect.KEYED:
+        return request_class.effect, request_class.scope, request_class.dedup_window
+    return (request_class.effect,)
+
+
+def _has_same_terms(request_class: RequestClass, other: RequestClass | None) -> bool:
+    """Whether requests of two classes may take as long and may be repeated in the same way."""
+    return (
+        other is not None
+        and request_class.deadline == other.deadline
+        and _repeat_rule(request_class) == _repeat_rule(other)
+    )
 
 
 def is_method_allowed(method: bytes, request_class: RequestClass) -> bool:
