Begin no long answer that a stopping process may not live to finish

Cause: the time that is left to the kill was the request's deadline, and Gateway._on_answer_began cancels the deadline with the first bytes of a streamed answer, as usually the host alone may end it.

Change: a request that arrives more than 0.7 s after SIGTERM needs its whole answer before the kill; one that came earlier is excused by the rule on restarts. A streamed answer to it is begun only if all of it is here; otherwise a read is refused and anything else fails, at once. Whether the rest comes in time is up to the host, so nothing else is safe. Small answers of undeclared length are collected to their end or their deadline. Over an upgrade nothing changes: the next process goes on with the answer. The same for uploads that end late, and the time of the kill counts from SIGTERM where an operator's LEAVE came before (uploads failed at once and requests were refused, with 3.7 s left).

--- a/tests/operations/test_presence.py
+++ b/tests/operations/test_presence.py
@@ -23,6 +23,19 @@
         assert left == pytest.approx(max(0.0, killed_at - now))
 
 
+def test_the_kill_is_planned_from_the_signal_not_from_the_drain_before_it() -> None:
+    """An operator's LEAVE a minute before SIGTERM left no time for any answer: all were refused."""
+    presence = Presence()
+    presence.leave(40.0)
+    presence.stop(100.0)
+    assert presence.time_left(100.0 + KILL_DELAY_SECONDS, 2.0) is None
+    assert presence.time_left(101.0, 2.0) == pytest.approx(KILL_DELAY_SECONDS + 1.0)
+    answer_deadline = presence.answer_deadline(2.0)
+    assert answer_deadline is not None
+    assert 100.0 < answer_deadline < 102.0 + KILL_DELAY_SECONDS
+    assert presence.whole_answers_from == 100.0 + KILL_DELAY_SECONDS
+
+
 def test_the_first_signal_counts() -> None:
     presence = Presence()
     presence.stop(100.0)
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -61,7 +61,7 @@
 
 
 @dataclass
-class _ProgramUnderTest:
+class ProgramUnderTest:
     """The running program, its only host, and a client that is connected to it."""
 
     host: ScriptedServer
@@ -82,9 +82,9 @@
 
 
 @asynccontextmanager
-async def _program_under_test(
+async def program_under_test(
     folder: Path, script: Script = never_answers, removed_class: dict[str, Any] | None = None
-) -> AsyncIterator[_ProgramUnderTest]:
+) -> AsyncIterator[ProgramUnderTest]:
     """Run the program with one host, which runs `script`, and one client.
 
     `removed_class`: a class with which the program is started, and which a retune takes out.
@@ -102,7 +102,7 @@
                 process.send_signal(signal.SIGHUP)
                 await wait_for_log(process, "settings")
             client = await Client.connect(port)
-            yield _ProgramUnderTest(host, client, process)
+            yield ProgramUnderTest(host, client, process)
 
 
 def _upload(body: bytes = BODY) -> bytes:
@@ -117,7 +117,7 @@
     tmp_path: Path, removed_class: dict[str, Any] | None
 ) -> None:
     """Retuned: a class with a longer deadline than all in force must not delay the last answers."""
-    async with _program_under_test(tmp_path, removed_class=removed_class) as program:
+    async with program_under_test(tmp_path, removed_class=removed_class) as program:
         text = _upload()
         program.client.writer.write(text[:-1000])
         await wait_until(lambda: program.host.requests or program.host.received_bytes > 100_000)
@@ -132,7 +132,7 @@
 @async_test
 async def test_an_upload_that_would_outlast_the_process_is_answered_before_the_kill(tmp_path: Path) -> None:
     """The host does not have the last byte, so a refusal is a correct answer too."""
-    async with _program_under_test(tmp_path) as program:
+    async with program_under_test(tmp_path) as program:
         text, step_bytes = _upload(), 20_000
         program.client.writer.write(text[: 5 * step_bytes])
         await wait_until(lambda: program.host.received_bytes > 2 * step_bytes)
@@ -153,7 +153,7 @@
 @async_test
 async def test_a_request_that_is_still_being_received_is_refused_before_the_kill(tmp_path: Path) -> None:
     """Nothing of it was forwarded: the client is refused before the request is complete."""
-    async with _program_under_test(tmp_path) as program:
+    async with program_under_test(tmp_path) as program:
         text, step_bytes = _upload(BODY[:60_000]), 1_000
         program.client.writer.write(text[:step_bytes])
 
@@ -176,7 +176,7 @@
     tmp_path: Path,
 ) -> None:
     """The connection is still open at SIGTERM; the request's own deadline is after the kill."""
-    async with _program_under_test(tmp_path) as program:
+    async with program_under_test(tmp_path) as program:
         text = _upload(b"coins")
         program.client.writer.write(text[:30])
         await program.stop()
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -233,16 +233,20 @@
             longest_deadline if last_answer_at is None else last_answer_at - now,
         )
 
-    def stop(self) -> None:
+    def stop(self, is_replaced: bool = False) -> None:
         """Prepare for the end of the process.
 
         Requests that arrive or become complete from now on are answered before the process is killed.
+        `is_replaced`: another process takes over the answers that are on their way by then.
         """
         now = self._loop.time()
         self.presence.stop(now)
         last_answer_at = self.presence.answer_deadline(self.longest_deadline_seconds)
+        whole_answers_from = None if is_replaced else self.presence.whole_answers_from
         if last_answer_at is not None:
-            self.gateway.limit_answer_time(last_answer_at - now)
+            self.gateway.limit_answer_time(
+                last_answer_at - now, None if whole_answers_from is None else whole_answers_from - now
+            )
 
     def refuse_incomplete_requests(self) -> None:
         """Refuse the requests that are still being received, as the last moment for answers has come."""
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -7,8 +7,9 @@
 
 The deadline of a request with a streamed body counts from the end of the body; until then only
 `MAX_UPLOAD_MICROSECONDS` limits it. A streamed answer counts as delivered once its head is sent; from then on
-only the host or the flow's timeouts end it. A request is released once it is answered, or its client has
-left, and all its attempts have ended.
+only the host or the flow's timeouts end it. So no streamed answer is begun that a stopping process may not
+live to finish, unless its request arrived so early that the client is prepared for that. A request is
+released once it is answered, or its client has left, and all its attempts have ended.
 """
 
 from __future__ import annotations
@@ -181,6 +182,8 @@
         self._queued_events: deque[tuple[Event, RequestId | None]] = deque()
         self._is_dispatching = False
         self._final_answer_time = 0  # the moment by which a stopping process answers everything; 0: none
+        # The moment from which a request that arrives needs its whole answer by then; 0: none does.
+        self._whole_answers_from = 0
         self.has_host_list = False
         self.executed_requests = ExecutedRequests()
 
@@ -253,6 +256,7 @@
         self._pending[request_id] = pending
         body_flow = message.body_flow
         message.client_timeout_seconds = timeout / SECOND
+        self._mark_late_arrival(pending, now - unread_time)
         if body_flow is not None:  # its deadline counts from the end of its body
             pending.lifecycle.deadline, pending.client_timeout = now + MAX_UPLOAD_MICROSECONDS, timeout
         self._set_deadline(pending, pending.lifecycle.deadline, now)
@@ -329,6 +333,7 @@
             request_id, message, send_answer, lifecycle, client_left, handed_over.client_request_id
         )
         pending.client_timeout = handed_over.client_timeout
+        self._mark_late_arrival(pending, now)
         expires = loop_now + MAX_UPLOAD_MICROSECONDS / SECOND
         attempt = Attempt(
             host, message, expires, self._on_attempt_ended, pending, 0, loop_now, self._on_answer_began
@@ -347,13 +352,30 @@
         connection.resume(attempt, body)
         return request_id
 
-    def limit_answer_time(self, max_seconds: float) -> None:
-        """Answer new requests, and those with incomplete bodies, within this time, as the process ends."""
+    def limit_answer_time(self, max_seconds: float, whole_after_seconds: float | None = None) -> None:
+        """Answer new requests, and those with incomplete bodies, within this time, as the process ends.
+
+        `whole_after_seconds`: the time from now after which requests that arrive get no streamed answer, as
+        nobody may be there to finish it; None: another process finishes it.
+        """
         now = self.clock.now()
         self._final_answer_time = now + round(max_seconds * SECOND)
+        if whole_after_seconds is not None:
+            self._whole_answers_from = now + round(whole_after_seconds * SECOND)
         for pending in list(self._pending.values()):
             if pending.send_answer is not None and pending.awaits_body:
                 self._set_deadline(pending, pending.lifecycle.deadline, now)
+                self._mark_late_arrival(pending, now)
+
+    def _mark_late_arrival(self, pending: _PendingRequest, received_at: int) -> None:
+        """Note whether a request needs a whole answer; `received_at`: moment of its last byte so far.
+
+        One whose body is incomplete may arrive at any later time.
+        """
+        pending.message.needs_whole_answer = self._whole_answers_from > 0 and (
+            (pending.message.body_flow is not None and not pending.body_complete_at)
+            or received_at > self._whole_answers_from
+        )
 
     def _set_deadline(self, pending: _PendingRequest, deadline: int, now: int) -> None:
         """Set the moment by which a request is answered; a stopping process may answer it earlier."""
@@ -382,6 +404,7 @@
         pending.body_complete_at = self._loop.time()
         unread_time = 0 if sent_at is None else round(max(0.0, pending.body_complete_at - sent_at) * SECOND)
         pending.lifecycle.deadline = now + pending.client_timeout - unread_time
+        self._mark_late_arrival(pending, now - unread_time)
         self._dispatch_event(BodyReceived(request_id), request_id)
         if pending.send_answer is not None:
             self._set_deadline(pending, pending.lifecycle.deadline, now)
@@ -571,6 +594,11 @@
         if pending.send_answer is None or answer.body_flow is None:
             attempt.stop(Outcome.CANCELLED)
             return
+        if pending.message.needs_whole_answer and not answer.body_flow.is_received:
+            # Whether it would be whole in time is up to the host.
+            status = 503 if pending.lifecycle.is_idempotent else 502
+            self._answer_and_cancel(pending, status, "its answer may outlast the process")
+            return
         if pending.deadline_timer is not None:
             pending.deadline_timer.cancel()
         now = self.clock.now()
@@ -697,8 +725,12 @@
         if pending is None or pending.send_answer is None:
             return
         log.error("the balancer did not answer request %d", request_id)
-        self._answer_request(request_id, Answer(status), self.clock.now(), "the balancer did not answer")
-        self._dispatch_event(RequestGone(request_id), request_id)
+        self._answer_and_cancel(pending, status, "the balancer did not answer")
+
+    def _answer_and_cancel(self, pending: _PendingRequest, status: int, reason: str) -> None:
+        """Answer a request here instead of by the balancer, and end its attempts."""
+        self._deliver_answer(pending, Answer(status), self.clock.now(), reason)
+        self._dispatch_event(RequestGone(pending.request_id), pending.request_id)
         for attempt in list(pending.attempts):
             if attempt is not None:
                 attempt.stop(Outcome.CANCELLED)
--- a/whinrouter/net/http_messages.py
+++ b/whinrouter/net/http_messages.py
@@ -73,6 +73,8 @@
     body_flow: Flow | None = None  # the body behind `body`, if it is streamed
     # Of a request with a streamed body: for how long the client waits from the end of the body.
     client_timeout_seconds: float = 0.0
+    # Of a request: its answer is given only if it is here completely, as the process may be killed soon.
+    needs_whole_answer: bool = False
 
     def hold_received_body(self) -> None:
         """Move a streamed body that has arrived completely into `body`, unless it is too large to be held.
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -271,6 +271,8 @@
         attempt, now, reader = self._attempt, self._pool.now(), self._response_reader
         if attempt is None or attempt.is_streaming or attempt.on_streaming is None:
             return False
+        if attempt.message.needs_whole_answer:
+            return False
         collected_bytes = reader.collected_bytes
         is_likely_long = collected_bytes >= LIKELY_LONG_BYTES
         if not is_likely_long and now - self._collected_at > UNPROVEN_STALL_SECONDS:
--- a/whinrouter/operations/presence.py
+++ b/whinrouter/operations/presence.py
@@ -48,6 +48,7 @@
     def __init__(self) -> None:
         self.stage = Stage.SERVING
         self._draining_since = 0.0
+        self._stopping_since = 0.0
 
     @property
     def accepts_clients(self) -> bool:
@@ -69,22 +70,31 @@
         """Drain the gateway as the process ends; `join` has no effect after that."""
         if self.stage is Stage.SERVING:
             self._draining_since = now
+        if self.stage is not Stage.STOPPING:
+            self._stopping_since = now
         self.stage = Stage.STOPPING
 
+    @property
+    def whole_answers_from(self) -> float | None:
+        """The time from which a request that arrives needs its whole answer before the kill.
+
+        An answer to one that arrived earlier may still be on its way then. None: the process is not stopping.
+        """
+        return self._stopping_since + KILL_DELAY_SECONDS if self.stage is Stage.STOPPING else None
+
+    def _killed_at(self, longest_deadline: float) -> float:
+        """Return the earliest time at which a stopping process may be killed."""
+        return self._stopping_since + KILL_DELAY_SECONDS + min(longest_deadline, MAX_COUNTED_DEADLINE_SECONDS)
+
     def time_left(self, now: float, longest_deadline: float) -> float | None:
         """Return the seconds left to answer a request that arrives now; None: only its own deadline counts.
 
         `longest_deadline`: the longest of all classes, in seconds, by the settings in force.
         """
-        if self.stage is not Stage.STOPPING or now <= self._draining_since + KILL_DELAY_SECONDS:
+        whole_answers_from = self.whole_answers_from
+        if whole_answers_from is None or now <= whole_answers_from:
             return None
-        return max(
-            0.0,
-            self._draining_since
-            + KILL_DELAY_SECONDS
-            + min(longest_deadline, MAX_COUNTED_DEADLINE_SECONDS)
-            - now,
-        )
+        return max(0.0, self._killed_at(longest_deadline) - now)
 
     def answer_deadline(self, longest_deadline: float) -> float | None:
         """Return the time by which requests that arrive, or still arrive, after the signal are answered.
@@ -95,12 +105,7 @@
         """
         if self.stage is not Stage.STOPPING:
             return None
-        return (
-            self._draining_since
-            + KILL_DELAY_SECONDS
-            + min(longest_deadline, MAX_COUNTED_DEADLINE_SECONDS)
-            - LAST_ANSWER_MARGIN_SECONDS
-        )
+        return self._killed_at(longest_deadline) - LAST_ANSWER_MARGIN_SECONDS
 
     def idle_timeout(self, now: float) -> float | None:
         """Return the seconds that a connection may be idle; None: as long as usual."""
--- a/whinrouter/program.py
+++ b/whinrouter/program.py
@@ -226,10 +226,11 @@
     event_dump.stop()
     log.info("stopping: %d requests held", gateway.unanswered_count)
     gateway.record_event(EventKind.STOPPING, f"{gateway.unanswered_count} held")
-    frontend.stop()
+    is_replaced = coordinator is not None and coordinator.is_replaced
+    frontend.stop(is_replaced)
     if application is not None:
         application.stop()
-    await _stop_accepting(frontend, is_replaced=coordinator is not None and coordinator.is_replaced)
+    await _stop_accepting(frontend, is_replaced)
     await _drain_connections(frontend)
     if coordinator is not None:
         await coordinator.wait_for_relays(STREAM_DRAIN_SECONDS)
