Hand over as many connections as the limit on descriptors allows

At half of the limit on connections, which is low while the older process holds descriptors, no connection of any other state was taken either: the end of an answer whose reader is slow was cut off.

Cause: bounds of the hand-over that do not follow from what the processes may hold: a constant for answers, and the rule that keeps room for new clients, which is meant for idle connections.

Change: a connection is taken if its descriptors fit in this process's own limit. What the older process holds does not count, as it closes what the newer one takes. Idle connections alone are taken below half of the limit as before. Adopted connections are never "above the limit", where their request would be refused. Relayed answers count in the read window, so that the memory for bodies on their way holds for them too; each read 64 KiB before.

--- a/tests/handover/test_long_answers.py
+++ b/tests/handover/test_long_answers.py
@@ -33,6 +33,7 @@
 from tests.test_program import platform_config
 from whinrouter.handover.relayed import CLIENT_LINGER_SECONDS
 from whinrouter.handover.transfer import AnswerTransfer, TransferReceiver, TransferSender
+from whinrouter.memory_budget import ReadWindow
 from whinrouter.net.http_messages import Message, encode_chunk
 from whinrouter.streaming.remainder import Framing, Remainder
 
@@ -109,7 +110,7 @@
                     continue_sending.set()
 
 
-async def _terminate_or_kill(process: asyncio.subprocess.Process) -> None:
+async def terminate_or_kill(process: asyncio.subprocess.Process) -> None:
     process.terminate()
     try:
         async with asyncio.timeout(KILL_DELAY_SECONDS):
@@ -123,7 +124,7 @@
 @async_test
 async def test_a_long_answer_outlives_the_process_that_began_it(tmp_path: Path, framing: Framing) -> None:
     async with gateway_being_replaced(tmp_path, framing) as replacement:
-        await _terminate_or_kill(replacement.old.process)
+        await terminate_or_kill(replacement.old.process)
         replacement.continue_sending.set()
         assert await replacement.body() == BODY
 
@@ -178,7 +179,7 @@
                 writer.write(text[:step])
                 async with running_gateway_process(tmp_path, listener, config) as new:
                     await wait_until_ready(new)
-                    ending = asyncio.get_running_loop().create_task(_terminate_or_kill(old.process))
+                    ending = asyncio.get_running_loop().create_task(terminate_or_kill(old.process))
                     for offset in range(step, len(text), step):
                         writer.write(text[offset : offset + step])
                         await asyncio.sleep(step / 80_000)
@@ -186,6 +187,12 @@
                     assert b" 200 " in await reader.readline()
 
 
+def _receiver(path: Path, has_descriptors: bool = True) -> TransferReceiver:
+    return TransferReceiver(
+        path, asyncio.get_running_loop().time, lambda count: has_descriptors, ReadWindow()
+    )
+
+
 class _FakeAnswer:
     """An answer to be handed over, with two sockets of its own."""
 
@@ -229,7 +236,7 @@
             await task
         path.unlink()
     assert answer.calls == ["pause", "resume"] * 3
-    receiver = TransferReceiver(path, asyncio.get_running_loop().time)
+    receiver = _receiver(path)
     await receiver.open()
     assert await TransferSender(path).hand_over(answer)
     assert answer.calls[-1] == "detach"
@@ -247,7 +254,7 @@
     path, answer, length = tmp_path / "answers", _FakeAnswer(), 3_000_000
     answer.message = AnswerTransfer(Remainder(Framing.LENGTH, length), length, False)
     loop = asyncio.get_running_loop()
-    receiver = TransferReceiver(path, loop.time)
+    receiver = _receiver(path)
     await receiver.open()
     assert await TransferSender(path).hand_over(answer)
     for peer in (answer.host_peer, answer.client_peer):
@@ -275,7 +282,7 @@
 @async_test
 async def test_an_invalid_transfer_message_is_rejected(tmp_path: Path, sent: bytes) -> None:
     path = tmp_path / "answers"
-    receiver = TransferReceiver(path, asyncio.get_running_loop().time)
+    receiver = _receiver(path)
     await receiver.open()
     with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as endpoint:
         endpoint.setblocking(False)
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -39,6 +39,19 @@
     assert window.size == MAX_READ_BYTES
 
 
+def test_reads_are_smaller_the_more_answers_another_process_has_begun() -> None:
+    """Their reads were of the greatest size, however many there were."""
+    window = ReadWindow(MIB)
+    window.set_flow_count(64)
+    size = window.size
+    window.set_relay_count(64)
+    assert window.size == max(MIN_READ_BYTES, size // 2)
+    window.set_flow_count(0)
+    assert window.size == size
+    window.set_relay_count(0)
+    assert window.size == MAX_READ_BYTES
+
+
 def test_without_a_limit_reads_are_always_large() -> None:
     window = ReadWindow()
     window.set_flow_count(10_000)
--- a/whinrouter/handover/connections.py
+++ b/whinrouter/handover/connections.py
@@ -225,11 +225,12 @@
 ) -> Callable[[ClientTransfer | UploadTransfer, list[socket.socket]], AdoptedConnection]:
     """Return the function that sets up connections of another process in this one.
 
-    The function raises NoCapacityError if the limit on client connections is reached.
+    The function raises NoCapacityError for an idle connection that would soon be evicted. All others have to
+    go on here: nobody else could answer them.
     """
 
     def adopt(message: ClientTransfer | UploadTransfer, sockets: list[socket.socket]) -> AdoptedConnection:
-        if not frontend.has_room:
+        if isinstance(message, ClientTransfer) and message.is_idle and not frontend.has_room_for_idle:
             raise NoCapacityError("too many client connections")
         client = frontend.adopt_connection(sockets[0], message.client_output)
         if isinstance(message, ClientTransfer):
--- a/whinrouter/handover/coordinator.py
+++ b/whinrouter/handover/coordinator.py
@@ -54,7 +54,12 @@
 )
 from whinrouter.handover.relayed import RelayedAnswer
 from whinrouter.handover.session import Phase
-from whinrouter.handover.transfer import TransferableConnection, TransferReceiver, TransferSender
+from whinrouter.handover.transfer import (
+    DESCRIPTORS_PER_ANSWER,
+    TransferableConnection,
+    TransferReceiver,
+    TransferSender,
+)
 from whinrouter.interface import Effect, RequestClass, Scope, Server, State
 from whinrouter.invariants.events import EventKind
 from whinrouter.net.frontend import ClientConnection, Frontend
@@ -208,7 +213,11 @@
         await self._peer_listener.open()
         adopt = connection_adopter(self.frontend, self.upstream)
         self._transfer_receiver = TransferReceiver(
-            self._transfer_path, asyncio.get_running_loop().time, adopt
+            self._transfer_path,
+            asyncio.get_running_loop().time,
+            self._has_descriptors,
+            self.frontend.window,
+            adopt,
         )
         await self._transfer_receiver.open()
         if self.older_peer is not None:
@@ -272,6 +281,16 @@
         finally:
             self._in_transfer.discard(origin)
 
+    def _has_descriptors(self, count: int) -> bool:
+        """Whether connections of an older process with so many descriptors fit in this process's limit.
+
+        What the older process holds does not count: it closes what this one takes.
+        """
+        receiver = self._transfer_receiver
+        held_for_older = receiver.descriptors_in_use if receiver is not None else 0
+        in_use = len(self.frontend.connections) + self.upstream.descriptors_in_use + held_for_older
+        return in_use + count <= self.max_descriptors
+
     def share_call(self, name: str, argument: str, exclude: PeerConnection | None = None) -> None:
         """Send an operator's call to all peers but the one that it came from."""
         self._broadcast(Called(name, argument), exclude)
@@ -408,9 +427,8 @@
         Those that the older process holds and those of relayed answers, two for each, are not available.
         """
         self._older_descriptors = older_descriptors
-        relayed_descriptors = (
-            2 * len(self._transfer_receiver.answers) if self._transfer_receiver is not None else 0
-        )
+        receiver = self._transfer_receiver
+        relayed_descriptors = DESCRIPTORS_PER_ANSWER * len(receiver.answers) if receiver is not None else 0
         limit = max(1, (self.max_descriptors - older_descriptors - relayed_descriptors) // 2)
         self.frontend.max_connections = limit
         self.upstream.max_connections = limit
--- a/whinrouter/handover/relayed.py
+++ b/whinrouter/handover/relayed.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import Callable
 
+from whinrouter.memory_budget import MAX_READ_BYTES, ReadWindow
 from whinrouter.net.http_messages import LAST_CHUNK, encode_chunk
 from whinrouter.net.sockets import acknowledged_bytes, reset
 from whinrouter.net.transport import SocketTransport
@@ -18,6 +19,9 @@
 CLIENT_LINGER_SECONDS = 0.5  # for the client to read the end of its answer before the socket is closed
 DRAIN_CHECK_SECONDS = 0.25
 
+# Shared by all reads, as each is consumed before the next.
+_READ_BUFFER = memoryview(bytearray(MAX_READ_BYTES))
+
 
 class RelayedAnswer:
     """One answer: a flow from the host's connection to the client's."""
@@ -29,16 +33,18 @@
         chunked: bool,
         now: Callable[[], float],
         on_done: Callable[[RelayedAnswer], None],
+        window: ReadWindow,
     ) -> None:
         """`length`: bytes of the whole body, if announced; `chunked`: the client receives it in chunks.
 
         `now`: seconds of the event loop's clock; `on_done`: called when both connections are closed.
+        `window`: the size of a read, and of what is buffered.
         """
-        self.chunked, self.now, self._on_done = chunked, now, on_done
+        self.chunked, self.now, self._on_done, self.window = chunked, now, on_done, window
         self.reader = RemainderReader(remainder)
         self.client = _ClientSide(self)
         self.host = _HostSide(self)
-        self.flow = Flow(self.host, length, now(), STALL_SECONDS, 0.0)
+        self.flow = Flow(self.host, length, now(), STALL_SECONDS, 0.0, window)
         self.is_over = False
 
     def connect(self, client: socket.socket, host: socket.socket, client_output: bytes) -> None:
@@ -122,7 +128,7 @@
             self.client.abort_body()
 
 
-class _Side(asyncio.Protocol):
+class _Side(asyncio.BaseProtocol):
     """One of the two connections of a relayed answer."""
 
     def __init__(self, answer: RelayedAnswer) -> None:
@@ -163,11 +169,14 @@
             self.transport.abort()
 
 
-class _HostSide(_Side):
+class _HostSide(_Side, asyncio.BufferedProtocol):
     """The host's connection, which the answer is read from."""
 
-    def data_received(self, data: bytes) -> None:
-        self._answer.host_data_received(data)
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return _READ_BUFFER[: self._answer.window.size]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._answer.host_data_received(bytes(_READ_BUFFER[:nbytes]))
 
     def eof_received(self) -> None:
         self._answer.host_closed(by_reset=False)
@@ -187,13 +196,13 @@
         self.drop()
 
 
-class _ClientSide(_Side):
+class _ClientSide(_Side, asyncio.Protocol):
     """The client's connection. It ends with this answer, so further requests of the client are not read."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         assert self.transport is not None
-        self.transport.set_write_buffer_limits(high=64 * 1024)
+        self.transport.set_write_buffer_limits(high=self._answer.window.size)
 
     def write_body(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
--- a/whinrouter/handover/transfer.py
+++ b/whinrouter/handover/transfer.py
@@ -34,6 +34,7 @@
 
 from whinrouter.handover.channel import short_path
 from whinrouter.handover.relayed import RelayedAnswer
+from whinrouter.memory_budget import ReadWindow
 from whinrouter.net.connect import LISTEN_RETRY_SECONDS, with_retries
 from whinrouter.streaming.remainder import Remainder
 
@@ -43,8 +44,8 @@
 # other fields.
 MAX_MESSAGE_BYTES = 512 * 1024
 PACKET_BYTES = 32 * 1024
-MAX_DESCRIPTORS = 2  # in one message: the client's and the host's
-MAX_RELAYED_ANSWERS = 256  # answers that a process relays at the same time
+DESCRIPTORS_PER_ANSWER = MAX_DESCRIPTORS = 2  # in one message: the client's and the host's
+LISTEN_BACKLOG = 128  # transfers that are not accepted yet
 HELD_REPLY = b"held"
 REPLY_TIMEOUT_SECONDS = 1.0  # within which the newer process replies that it holds both sockets
 PAUSE_TIMEOUT_SECONDS = 3.0  # within which the framing has to reach a point that can be described
@@ -70,6 +71,11 @@
     closes_connection: bool  # the connection ends after these bytes
     waiting_seconds_left: float | None = None  # of the client's timeout; None: from an earlier version
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is owed to the client, and nothing has begun."""
+        return not (self.unread_input or self.client_output or self.closes_connection)
+
 
 class UploadTransfer(msgspec.Struct, frozen=True, array_like=True, tag="upload"):
     """A request whose body is being sent to a host that has a part of it: both sockets."""
@@ -209,16 +215,31 @@
 class TransferReceiver:
     """The newer process's side: it accepts connections and relays the answers among them."""
 
-    def __init__(self, path: Path, now: Callable[[], float], adopt: Adopt | None = None) -> None:
-        """`adopt`: sets up connections other than answers; None: those are rejected.
-
-        `now`: seconds of the event loop's clock.
+    def __init__(
+        self,
+        path: Path,
+        now: Callable[[], float],
+        has_descriptors: Callable[[int], bool],
+        window: ReadWindow,
+        adopt: Adopt | None = None,
+    ) -> None:
+        """`has_descriptors`: whether the process may hold so many more descriptors.
+
+        `now`: seconds of the event loop's clock. `window`: the size of a read of all bodies on their way.
+        `adopt`: sets up connections other than answers; None: those are rejected.
         """
         self._path, self._now, self._adopt = path, now, adopt
+        self._has_descriptors, self._window = has_descriptors, window
         self._listener: socket.socket | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._open_transfers = 0  # transfers that were accepted and are not decided
         self.answers: set[RelayedAnswer] = set()
 
+    @property
+    def descriptors_in_use(self) -> int:
+        """Descriptors of relayed answers and of the transfers that are not decided."""
+        return DESCRIPTORS_PER_ANSWER * len(self.answers) + self._open_transfers
+
     async def open(self) -> None:
         """Listen at the path, in place of whichever process had it."""
         self.close()
@@ -236,7 +257,7 @@
             with short_path(temporary_path) as alias:
                 listener.bind(alias)
             temporary_path.chmod(0o600)
-            listener.listen(MAX_RELAYED_ANSWERS)
+            listener.listen(LISTEN_BACKLOG)
             listener.setblocking(False)
             temporary_path.rename(self._path)
         except OSError:
@@ -276,6 +297,7 @@
 
     async def _handle_transfer(self, endpoint: socket.socket) -> None:
         with endpoint:
+            self._open_transfers += 1
             try:
                 async with asyncio.timeout(REPLY_TIMEOUT_SECONDS):
                     await self._receive_transfer(endpoint)
@@ -285,6 +307,8 @@
                 )
             except Exception:  # the older process keeps the connection, as it has not received "held"
                 log.exception("handover: a connection was not taken")
+            finally:
+                self._open_transfers -= 1
 
     async def _receive_transfer(self, endpoint: socket.socket) -> None:
         with contextlib.ExitStack() as cleanup:
@@ -302,20 +326,30 @@
         adopted.activate()
 
     def _adopt_connection(self, message: TransferMessage, sockets: list[socket.socket]) -> AdoptedConnection:
+        if not self._has_descriptors(len(sockets)):
+            raise NoCapacityError("no descriptors are left")
         if not isinstance(message, AnswerTransfer):
             if self._adopt is None:
                 raise NoCapacityError("only answers are accepted here")
             return self._adopt(message, sockets)
-        if len(self.answers) >= MAX_RELAYED_ANSWERS:
-            raise NoCapacityError("too many relayed answers")
         answer = RelayedAnswer(
-            message.remainder, message.body_length, message.chunked, self._now, self.answers.discard
+            message.remainder,
+            message.body_length,
+            message.chunked,
+            self._now,
+            self._remove_answer,
+            self._window,
         )
         client, host = sockets
         answer.connect(client, host, message.client_output)
         self.answers.add(answer)
+        self._window.set_relay_count(len(self.answers))
         return answer
 
+    def _remove_answer(self, answer: RelayedAnswer) -> None:
+        self.answers.discard(answer)
+        self._window.set_relay_count(len(self.answers))
+
     async def _receive_message(
         self, endpoint: socket.socket, cleanup: contextlib.ExitStack
     ) -> tuple[bytes, list[socket.socket]]:
--- a/whinrouter/memory_budget.py
+++ b/whinrouter/memory_budget.py
@@ -43,12 +43,22 @@
         """`flow_bytes`: for all bodies together; None: reads are always of the greatest size."""
         self._flow_bytes = flow_bytes
         self._flow_count = 0
+        self._relay_count = 0
         self.size = MAX_READ_BYTES
 
     def set_flow_count(self, flow_count: int) -> None:
         """Set the number of connections with a body on its way."""
-        if self._flow_bytes is None or flow_count == self._flow_count:
+        if flow_count != self._flow_count:
+            self._flow_count = flow_count
+            self._update_size()
+
+    def set_relay_count(self, relay_count: int) -> None:
+        """Set the number of answers that another process began."""
+        self._relay_count = relay_count
+        self._update_size()
+
+    def _update_size(self) -> None:
+        if self._flow_bytes is None:
             return
-        self._flow_count = flow_count
-        share = self._flow_bytes // max(1, flow_count)
+        share = self._flow_bytes // max(1, self._flow_count + self._relay_count)
         self.size = max(MIN_READ_BYTES, min(MAX_READ_BYTES, share))
--- a/whinrouter/net/frontend.py
+++ b/whinrouter/net/frontend.py
@@ -265,13 +265,16 @@
         self.overload.set_aims(request_class.aim / SECOND for request_class in settings.classes)
 
     @property
-    def has_room(self) -> bool:
-        """Whether a connection of another process can be adopted without an eviction."""
+    def has_room_for_idle(self) -> bool:
+        """Whether an idle connection of another process can be adopted without an eviction."""
         return len(self.connections) < IDLE_EVICTION_SHARE * self.max_connections
 
     def adopt_connection(self, endpoint: socket.socket, unsent: bytes) -> ClientConnection:
-        """Adopt a connection of another process; it is frozen. `unsent`: output that goes out first."""
-        client = ClientConnection(self)
+        """Adopt a connection of another process; it is frozen. `unsent`: output that goes out first.
+
+        It may exceed the limit on connections, which is low while the other process holds descriptors.
+        """
+        client = ClientConnection(self, is_adopted=True)
         SocketTransport(endpoint, client, unsent, is_frozen=True)
         return client
 
@@ -382,7 +385,8 @@
 class ClientConnection(ReaderProtocol):
     """A client connection; its requests are handled one after the other."""
 
-    def __init__(self, frontend: Frontend) -> None:
+    def __init__(self, frontend: Frontend, is_adopted: bool = False) -> None:
+        """`is_adopted`: another process has accepted the connection."""
         # More messages in one read are rejected, so that they need not even be parsed.
         self._request_reader = RequestReader(self._start_body, MAX_PIPELINED_REQUESTS + 1)
         super().__init__(self._request_reader, frontend.window)
@@ -406,6 +410,7 @@
         self._closes_after_answer = False  # the connection closes after the current answer
         self._is_input_ignored = False  # input is discarded from now on
         self._has_too_many_queued = False  # the client sent too many requests ahead
+        self._is_adopted = is_adopted
         self._is_surplus = False  # accepted above the connection limit: its one request is refused
         self._is_writing_paused = False  # the client does not read what was written to it
         self._descriptor = -1
@@ -428,7 +433,10 @@
         if self._frontend.selector is not None:
             self._descriptor = transport.get_extra_info("socket").fileno()
             self._frontend.selector.client_descriptors.add(self._descriptor)
-        if self._frontend.admit(self):
+        if self._is_adopted:
+            self._frontend.connections.add(self)
+            self._start_waiting(RECEIVE_TIMEOUT_SECONDS)
+        elif self._frontend.admit(self):
             self._start_waiting(RECEIVE_TIMEOUT_SECONDS)
         elif self._frontend.admit_surplus(self):
             self._is_surplus = self._closes_after_answer = True
