Give each connection a turn at a hand-over before another one has a second

What callers saw: answers under way at an upgrade were cut off by SIGKILL although nothing kept them from being handed over, if 32 or more others could not be: their hosts had paused within the size of a chunk, where the framing can't be described.

Cause: each of the 32 offers at a time waited up to 3 s for its framing and kept its place for another 0.3 s, and the search began anew with the same connections.

Change: a schedule (handover/transfer_schedule.py, no I/O) offers connections that were never offered first, then the one that waits longest; an offer waits 0.25 s for its framing and then makes room.

--- a/tests/handover/test_many_connections.py
+++ b/tests/handover/test_many_connections.py
@@ -35,12 +35,14 @@
 from tests.test_program import platform_config
 from whinrouter.handover.connections import connection_adopter
 from whinrouter.handover.transfer import ClientTransfer, NoCapacityError
+from whinrouter.handover.transfer_schedule import TransferSchedule
 from whinrouter.net.http_messages import Message, encode_chunk
 
 HOSTS = 6
 READERS = 300  # a third of 1,024 descriptors is 341
 STUCK_READERS, STUCK_HEADER = 100, "x-stuck"
 FIRST_PART, REST = b"x" * 70_000, b"y" * 1000
+RETRY_SECONDS = 0.3
 
 
 async def _watch(request: Message, writer: asyncio.StreamWriter) -> None:
@@ -120,6 +122,20 @@
             assert set(await answers.finish()) == {len(FIRST_PART + REST)}
 
 
+@async_test
+async def test_answers_that_cannot_be_handed_over_do_not_keep_others_from_it(tmp_path: Path) -> None:
+    """They held all of the offers at a time for longer than the older process lives."""
+    async with _running_gateway(tmp_path) as (stuck_answers, old, start):
+        answers = _LongAnswers(stuck_answers.port, stuck_answers.may_finish)
+        await stuck_answers.begin(STUCK_READERS, {STUCK_HEADER: "1"})
+        await answers.begin(5)
+        async with start() as new:
+            await wait_until_ready(new)
+            await terminate_or_kill(old.process)
+            assert set(await answers.finish()) == {len(FIRST_PART + REST)}
+        await asyncio.gather(*stuck_answers.readers, return_exceptions=True)
+
+
 @pytest.mark.parametrize(
     ("message", "is_adopted"),
     [
@@ -156,3 +172,38 @@
                 assert (await loop.sock_recv(peer, 100)).startswith(b"HTTP/1.1 200")
             else:
                 assert await loop.sock_recv(peer, 100) == message.client_output
+
+
+def test_a_connection_that_cannot_be_handed_over_does_not_keep_others_from_their_turn() -> None:
+    """Those that failed were offered again and again, and held all of the offers at a time."""
+    stuck, others = list(range(10)), list(range(10, 30))
+    schedule: TransferSchedule[int] = TransferSchedule(len(stuck), RETRY_SECONDS)
+    now, held = 0.0, set[int]()
+    for _ in range(3):
+        chosen = schedule.choose([*stuck, *(other for other in others if other not in held)], now)
+        assert len(chosen) == len(stuck)
+        assert schedule.choose([*stuck, *others], now) == [], "as many are offered as may be at a time"
+        now += RETRY_SECONDS
+        for connection in chosen:
+            schedule.finish(connection, connection in others, now)
+            if connection in others:
+                held.add(connection)
+    assert held == set(others)
+    now += RETRY_SECONDS
+    assert schedule.choose(stuck, now) == stuck, "they have another turn"
+
+
+def test_a_failed_offer_waits_before_the_next_one() -> None:
+    schedule: TransferSchedule[int] = TransferSchedule(2, RETRY_SECONDS)
+    assert schedule.choose([1], 0.0) == [1]
+    schedule.finish(1, False, 1.0)
+    assert schedule.choose([1], 1.0 + RETRY_SECONDS / 2) == []
+    assert schedule.choose([1], 1.0 + RETRY_SECONDS) == [1]
+
+
+def test_the_schedule_forgets_connections_that_are_gone() -> None:
+    schedule: TransferSchedule[int] = TransferSchedule(2, RETRY_SECONDS)
+    for number in range(100):
+        schedule.choose([number], float(number))
+        schedule.finish(number, False, float(number))
+    assert len(schedule._due_at) <= 2
--- a/whinrouter/handover/coordinator.py
+++ b/whinrouter/handover/coordinator.py
@@ -60,6 +60,7 @@
     TransferReceiver,
     TransferSender,
 )
+from whinrouter.handover.transfer_schedule import TransferSchedule
 from whinrouter.interface import Effect, RequestClass, Scope, Server, State
 from whinrouter.invariants.events import EventKind
 from whinrouter.net.frontend import ClientConnection, Frontend
@@ -150,7 +151,9 @@
     _older_descriptors: int = 0  # descriptors that the older process still holds
     _transfer_receiver: TransferReceiver | None = None  # also relays answers that came from older processes
     _executed_peers: list[PeerConnection] = field(default_factory=list)
-    _in_transfer: set[ClientConnection | RelayedAnswer] = field(default_factory=set)
+    _transfers: TransferSchedule[ClientConnection | RelayedAnswer] = field(
+        default_factory=lambda: TransferSchedule(MAX_CONCURRENT_TRANSFERS, TRANSFER_RETRY_SECONDS)
+    )
 
     async def restore_from_older(self) -> Snapshot | None:
         """Restore the older process's state and return it.
@@ -250,36 +253,31 @@
 
     async def _transfer_connections(self, peer: PeerConnection) -> None:
         """Hand over each connection as soon as it can be transferred, while the newer process serves."""
+        now = asyncio.get_running_loop().time
         while peer.session.phase is Phase.BOTH_SERVING:
-            for client in list(self.frontend.connections):
-                if client not in self._in_transfer and client.state in TRANSFERABLE_STATES:
-                    self._start_transfer(ActiveConnection(self.frontend, client), client)
-            for answer in (
-                list(self._transfer_receiver.answers) if self._transfer_receiver is not None else ()
-            ):
-                if answer not in self._in_transfer:
-                    self._start_transfer(ActiveRelay(answer), answer)
+            for connection in self._transfers.choose(self._transferable_connections(), now()):
+                self._start_task(self._transfer(connection))
             await asyncio.sleep(TRANSFER_SCAN_SECONDS)
 
-    def _start_transfer(
-        self, connection: TransferableConnection, origin: ClientConnection | RelayedAnswer
-    ) -> None:
-        if len(self._in_transfer) < MAX_CONCURRENT_TRANSFERS:
-            self._in_transfer.add(origin)
-            self._start_task(self._transfer(connection, origin))
+    def _transferable_connections(self) -> list[ClientConnection | RelayedAnswer]:
+        """Return the connections that another process can go on with."""
+        clients = [client for client in self.frontend.connections if client.state in TRANSFERABLE_STATES]
+        relayed_answers = self._transfer_receiver.answers if self._transfer_receiver is not None else ()
+        return [*clients, *relayed_answers]
 
-    async def _transfer(
-        self, connection: TransferableConnection, origin: ClientConnection | RelayedAnswer
-    ) -> None:
+    async def _transfer(self, origin: ClientConnection | RelayedAnswer) -> None:
+        is_held = False
         try:
-            if await TransferSender(self._transfer_path).hand_over(connection):
-                self.gateway.record_event(
-                    EventKind.TAKEN_OVER, "a connection is passed on to the newer process"
-                )
-            else:
-                await asyncio.sleep(TRANSFER_RETRY_SECONDS)
+            is_held = await TransferSender(self._transfer_path).hand_over(self._as_transferable(origin))
         finally:
-            self._in_transfer.discard(origin)
+            self._transfers.finish(origin, is_held, asyncio.get_running_loop().time())
+        if is_held:
+            self.gateway.record_event(EventKind.TAKEN_OVER, "a connection is passed on to the newer process")
+
+    def _as_transferable(self, origin: ClientConnection | RelayedAnswer) -> TransferableConnection:
+        if isinstance(origin, RelayedAnswer):
+            return ActiveRelay(origin)
+        return ActiveConnection(self.frontend, origin)
 
     def _has_descriptors(self, count: int) -> bool:
         """Whether connections of an older process with so many descriptors fit in this process's limit.
--- a/whinrouter/handover/transfer.py
+++ b/whinrouter/handover/transfer.py
@@ -48,7 +48,7 @@
 LISTEN_BACKLOG = 128  # transfers that are not accepted yet
 HELD_REPLY = b"held"
 REPLY_TIMEOUT_SECONDS = 1.0  # within which the newer process replies that it holds both sockets
-PAUSE_TIMEOUT_SECONDS = 3.0  # within which the framing has to reach a point that can be described
+PAUSE_TIMEOUT_SECONDS = 0.25  # within which the framing has to reach a point that can be described
 POLL_INTERVAL_SECONDS = 0.005
 STUCK_CHECK_SECONDS = 0.25
 _LENGTH_PREFIX = struct.Struct(">I")
