Let the host of a small answer be silent until its client's deadline

Cause: an answer of undeclared length may be a short one whose host has stopped, and its client has to see that it failed within half a second of its deadline; so its host may be silent for 0.2 s only, until 16 KiB have come. Such answers are passed on a second after their first bytes, too, and the bound held from then on, far from the deadline.

Change: until 0.2 s behind the client's deadline the host may be silent for as long as any other, from then on for 0.2 s at a time as before (Flow.allow_silence). The half second behind the deadline stands. The same where a reader was full and reads again.

--- a/tests/streaming/test_slow_hosts.py
+++ b/tests/streaming/test_slow_hosts.py
@@ -19,9 +19,10 @@
     scripted_servers,
 )
 from whinrouter.interface import Server
+from whinrouter.net.frontend import SWEEP_INTERVAL_SECONDS
 from whinrouter.net.hosts import Member, hashed_server_id
 from whinrouter.net.http_messages import Message
-from whinrouter.net.upstream import LIKELY_LONG_BYTES, MAX_HELD_BACK_SECONDS
+from whinrouter.net.upstream import LIKELY_LONG_BYTES, MAX_HELD_BACK_SECONDS, UNPROVEN_STALL_SECONDS
 from whinrouter.streaming.flow import READER_TIMEOUT_SECONDS, STALL_SECONDS, Flow
 
 DEADLINE_SECONDS = 0.4
@@ -122,6 +123,61 @@
         assert len(host.requests) == 1
 
 
+@pytest.mark.parametrize("form", list(HEADS))
+@async_test
+async def test_a_small_answer_whose_host_stands_still_far_from_its_deadline_is_not_cut_off(form: str) -> None:
+    """It is passed on a second after its first bytes, and was cut off when its host paused for 0.4 s."""
+    has_start, pause_seconds = asyncio.Event(), 2 * (UNPROVEN_STALL_SECONDS + SWEEP_INTERVAL_SECONDS)
+
+    async def stands_still(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEADS[form])
+        while not has_start.is_set():
+            writer.write(_piece(form, b"p" * 100))
+            await asyncio.sleep(0.05)
+        for _ in range(2):
+            await asyncio.sleep(pause_seconds)
+            writer.write(_piece(form, b"q" * 100))
+        writer.write(b"0\r\n\r\n" if form == "chunked" else b"")
+        if form != "chunked":
+            writer.close()
+
+    async with scripted_servers(stands_still) as (host,), running_gateway(host.member()) as proxy:
+        client, text = await proxy.client(), bytearray()
+        client.writer.write(request_text(headers={"X-Deadline": "15.0"}))
+        await _read_until(client, 1, text)
+        has_start.set()
+        text += await client.read_bytes_until(b"0\r\n\r\n")
+        assert text.count(b"q") == 200
+        assert len(host.requests) == 1
+
+
+@async_test
+async def test_a_small_answer_that_is_passed_on_and_stops_is_cut_off_at_its_deadline() -> None:
+    """Its client has to see that it failed within half a second of its deadline."""
+    deadline_seconds = MAX_HELD_BACK_SECONDS + 1.0
+    has_start = asyncio.Event()
+
+    async def stops(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEADS["chunked"])
+        while not has_start.is_set():
+            writer.write(_piece("chunked", b"p" * 100))
+            await asyncio.sleep(0.05)
+
+    async with scripted_servers(stops) as (host,), running_gateway(host.member()) as proxy:
+        client, text = await proxy.client(), bytearray()
+        loop, began_at = asyncio.get_running_loop(), asyncio.get_running_loop().time()
+        client.writer.write(request_text(headers={"X-Deadline": str(deadline_seconds)}))
+        await _read_until(client, 1, text)
+        (connection,) = proxy.frontend.streaming_connections
+        has_start.set()
+        await asyncio.sleep(2 * (UNPROVEN_STALL_SECONDS + SWEEP_INTERVAL_SECONDS))
+        assert connection.answer_flow is not None, "the client still waits"
+        with pytest.raises((ConnectionError, AssertionError)):
+            await _read_until(client, PIECES * len(PIECE), text)
+        assert loop.time() > began_at + deadline_seconds
+        assert len(host.requests) == 1
+
+
 @async_test
 async def test_a_small_answer_whose_host_stops_within_it_fails_at_its_time() -> None:
     """It was passed on at the deadline, and cut off 10 s later: its client had no final answer in time."""
@@ -148,6 +204,25 @@
     assert flow.is_overdue(1.4 + STALL_SECONDS + 0.1)
 
 
+def test_a_source_that_has_to_prove_itself_may_be_silent_until_a_given_time() -> None:
+    """Also behind a reader that was full; it may not be silent for longer than any other source."""
+    flow = Flow(_NoSource(), None, 0.0, STALL_SECONDS, 0.0)
+    flow.expect_bytes(1000, 0.2, now=1.0)
+    flow.allow_silence(5.0, now=1.0)
+    assert not flow.is_overdue(4.9)
+    flow.put(bytes(10), 2.0)
+    flow.sink_full(2.1)
+    flow.sink_ready(2.2)
+    assert not flow.is_overdue(4.9)
+    assert flow.is_overdue(5.1)
+    flow.put(bytes(10), 5.1)
+    assert not flow.is_overdue(5.2)
+    assert flow.is_overdue(5.4)
+    flow.allow_silence(100.0, now=5.4)
+    assert not flow.is_overdue(5.4 + STALL_SECONDS - 0.1)
+    assert flow.is_overdue(5.4 + STALL_SECONDS + 0.1)
+
+
 class _NoSource:
     def pause_reading(self) -> None:
         """Nothing is read."""
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -61,6 +61,10 @@
 # The time that a request body may take to arrive: one and a half times that of 40 MiB at the minimum rate
 # (`MIN_BODY_RATE`).
 MAX_UPLOAD_MICROSECONDS = 2_000 * SECOND
+# For how long after its deadline the host of an answer that may be a short one may stay silent. With the
+# interval of the frontend's sweep this is less than the half second within which a client has to see that its
+# request has failed.
+SILENCE_SLACK_SECONDS = 0.2
 MAX_TIMER_MICROSECONDS = 10 * SECOND  # a longer wait takes several timers
 # The answer is due this long before the client's own deadline, which also covers the request's way here and
 # the answer's way back, and event loop lag. On a busy core both ways together took 10 ms at the 99th
@@ -601,8 +605,10 @@
             return
         if pending.deadline_timer is not None:
             pending.deadline_timer.cancel()
-        now = self.clock.now()
-        began_at = attempt.answer_began_at or self._loop.time()
+        now, loop_now = self.clock.now(), self._loop.time()
+        began_at = attempt.answer_began_at or loop_now
+        client_deadline = loop_now + (pending.lifecycle.deadline - now) / SECOND
+        answer.body_flow.allow_silence(client_deadline + SILENCE_SLACK_SECONDS, loop_now)
         host_seconds = began_at - max(attempt.started_at, pending.body_complete_at) - attempt.unread_seconds
         self._deliver_answer(
             pending,
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -42,7 +42,7 @@
 MAX_HELD_BACK_SECONDS = 1.0
 # An answer of undeclared length of which so much has come is taken for a long one, which may be slow.
 # With less of it the host may have stopped: within half a second of its time a request must be answered, or
-# visibly failed, so its host may be silent for less than that.
+# visibly failed, so from its deadline on its host may be silent for less than that (`Flow.allow_silence`).
 LIKELY_LONG_BYTES = 16 * 1024
 UNPROVEN_STALL_SECONDS = 0.2
 SWEEP_SECONDS = 0.25  # interval of the search for connections that were idle too long; well under the margin
--- a/whinrouter/streaming/flow.py
+++ b/whinrouter/streaming/flow.py
@@ -130,6 +130,7 @@
         self._is_discarded = False  # the rest is not wanted, and what was buffered is gone
         self._grace = self._usual_grace = grace
         self._unproven_bytes = 0  # that must arrive before the usual grace holds
+        self._silent_until = now  # until this time the usual grace holds all the same
         self._rate_floor = RateFloor(now, grace, floor)
         self.arrival = BodyArrival(now)
         self._delivered = -1  # bytes that the sink reported as delivered at the latest check
@@ -188,6 +189,7 @@
         if self._unproven_bytes > 0:
             self._prove(len(data))
         self._rate_floor.credit(len(data), now)
+        self._extend_silence(now)
         if self.stage is Stage.FLOWING and not self._is_sink_full and self._sink is not None:
             self.is_partly_sent = True
             self._sink.write_body(data)
@@ -201,6 +203,17 @@
         self._unproven_bytes, self._grace = count, stall_seconds
         self._rate_floor = RateFloor(now, stall_seconds, 0.0)
 
+    def allow_silence(self, until: float, now: float) -> None:
+        """Give a source that has to prove itself the usual grace until this time."""
+        self._silent_until = until
+        self._extend_silence(now)
+
+    def _extend_silence(self, now: float) -> None:
+        """Let an unproven source be silent until `_silent_until`, but for no longer than usual."""
+        if self._unproven_bytes > 0:
+            silent_until = min(now + self._usual_grace, self._silent_until)
+            self._rate_floor.deadline = max(self._rate_floor.deadline, silent_until)
+
     def _prove(self, count: int) -> None:
         self._unproven_bytes -= count
         if self._unproven_bytes <= 0:
@@ -218,6 +231,7 @@
             self._source.pause_reading()
         elif self._is_paused and not should_pause:
             self._is_paused, self._rate_floor.deadline = False, now + self._grace
+            self._extend_silence(now)
             self._source.resume_reading()
 
     def end(self) -> None:
@@ -266,6 +280,7 @@
     def sink_ready(self, now: float) -> None:
         """Note that the sink accepts data again, and send it what was buffered."""
         self._is_sink_full, self._rate_floor.deadline = False, now + self._grace
+        self._extend_silence(now)
         if self.stage is Stage.FLOWING:
             self._drain(now)
 
