Move the messages and entries of a hand-over into modules of their own

Change: handover/transfer_messages.py and handover/entries.py; nothing that they do changes, and imports in four test files follow.

--- a/tests/handover/test_held_reply.py
+++ b/tests/handover/test_held_reply.py
@@ -9,7 +9,8 @@
 import pytest
 
 from tests.peers import async_test
-from whinrouter.handover.transfer import HELD_REPLY, ClientTransfer, TransferSender
+from whinrouter.handover.transfer import HELD_REPLY, TransferSender
+from whinrouter.handover.transfer_messages import ClientTransfer
 
 
 class _Connection:
--- a/tests/handover/test_long_answers.py
+++ b/tests/handover/test_long_answers.py
@@ -32,7 +32,8 @@
 from tests.test_discovery import HEAD
 from tests.test_program import platform_config
 from whinrouter.handover.relayed import CLIENT_LINGER_SECONDS
-from whinrouter.handover.transfer import AnswerTransfer, TransferReceiver, TransferSender
+from whinrouter.handover.transfer import TransferReceiver, TransferSender
+from whinrouter.handover.transfer_messages import AnswerTransfer
 from whinrouter.memory_budget import ReadWindow
 from whinrouter.net.http_messages import Message, encode_chunk
 from whinrouter.streaming.remainder import Framing, Remainder
--- a/tests/handover/test_many_connections.py
+++ b/tests/handover/test_many_connections.py
@@ -34,7 +34,8 @@
 from tests.test_discovery import HEAD
 from tests.test_program import platform_config
 from whinrouter.handover.connections import connection_adopter
-from whinrouter.handover.transfer import ClientTransfer, NoCapacityError
+from whinrouter.handover.transfer import NoCapacityError
+from whinrouter.handover.transfer_messages import ClientTransfer
 from whinrouter.handover.transfer_schedule import TransferSchedule
 from whinrouter.net.http_messages import Message, encode_chunk
 
--- a/tests/handover/test_shared_calls.py
+++ b/tests/handover/test_shared_calls.py
@@ -16,7 +16,8 @@
 
 from tests.peers import async_test, running_gateway, wait_until
 from whinrouter.handover.channel import PeerConnection, PeerListener
-from whinrouter.handover.coordinator import HandoverCoordinator, encode_member
+from whinrouter.handover.coordinator import HandoverCoordinator
+from whinrouter.handover.entries import encode_member
 from whinrouter.handover.messages import Called, Hello, Message, Ready, Snapshot, Stopped, encode_frame
 from whinrouter.interface import Server, State
 from whinrouter.learned_state import LearnedState
--- a/whinrouter/handover/connections.py
+++ b/whinrouter/handover/connections.py
@@ -6,11 +6,10 @@
 from collections.abc import Callable
 
 from whinrouter.handover.relayed import RelayedAnswer
-from whinrouter.handover.transfer import (
-    AdoptedConnection,
+from whinrouter.handover.transfer import AdoptedConnection, NoCapacityError
+from whinrouter.handover.transfer_messages import (
     AnswerTransfer,
     ClientTransfer,
-    NoCapacityError,
     TransferMessage,
     UploadTransfer,
 )
--- a/whinrouter/handover/coordinator.py
+++ b/whinrouter/handover/coordinator.py
@@ -40,13 +40,12 @@
     ActiveRelay,
     connection_adopter,
 )
+from whinrouter.handover.entries import decode_class, decode_member, encode_class, encode_member
 from whinrouter.handover.messages import (
     Called,
-    ClassEntry,
     Executed,
     Hello,
     Holding,
-    HostEntry,
     Message,
     Ready,
     Snapshot,
@@ -54,18 +53,14 @@
 )
 from whinrouter.handover.relayed import RelayedAnswer
 from whinrouter.handover.session import Phase
-from whinrouter.handover.transfer import (
-    DESCRIPTORS_PER_ANSWER,
-    TransferableConnection,
-    TransferReceiver,
-    TransferSender,
-)
+from whinrouter.handover.transfer import TransferableConnection, TransferReceiver, TransferSender
+from whinrouter.handover.transfer_messages import DESCRIPTORS_PER_ANSWER
 from whinrouter.handover.transfer_schedule import TransferSchedule
-from whinrouter.interface import Effect, RequestClass, Scope, Server, State
+from whinrouter.interface import State
 from whinrouter.invariants.events import EventKind
 from whinrouter.net.frontend import ClientConnection, Frontend
 from whinrouter.net.gateway import Gateway
-from whinrouter.net.hosts import HostList, Member
+from whinrouter.net.hosts import HostList
 from whinrouter.net.upstream import ConnectionPool
 from whinrouter.operations.controller import OperationsController
 
@@ -78,55 +73,6 @@
 HOLDING_REPORT_SECONDS = 0.2  # between an older process's reports of its descriptors
 
 
-def encode_member(member: Member) -> HostEntry:
-    """Return a host in the form of the handover messages."""
-    server, (host, port) = member.server, member.address
-    return HostEntry(
-        server.id,
-        host,
-        port,
-        server.state.value,
-        server.zone,
-        server.kind,
-        server.cell,
-        server.weight,
-        server.started_at,
-    )
-
-
-def decode_member(entry: HostEntry) -> Member:
-    """Return a host of a handover message as a member of a host list; ValueError if its state is unknown."""
-    server = Server(
-        entry.server_id,
-        State(entry.state),
-        entry.zone,
-        entry.kind,
-        entry.cell,
-        entry.weight,
-        entry.started_at,
-    )
-    return Member(server, (entry.host, entry.port))
-
-
-def encode_class(request_class: RequestClass) -> ClassEntry:
-    """Return a class in the form of the handover messages."""
-    return ClassEntry(
-        request_class.name,
-        request_class.aim,
-        request_class.deadline,
-        request_class.effect.value,
-        request_class.scope.value,
-        request_class.dedup_window,
-    )
-
-
-def decode_class(entry: ClassEntry) -> RequestClass:
-    """Return a class of a handover message; ValueError if its effect or scope is unknown."""
-    return RequestClass(
-        entry.name, entry.aim, entry.deadline, Effect(entry.effect), Scope(entry.scope), entry.dedup_window
-    )
-
-
 @dataclass(slots=True)
 class HandoverCoordinator:
     """One process's side of all handovers: from the older process, and to newer ones."""
--- a/whinrouter/handover/transfer.py
+++ b/whinrouter/handover/transfer.py
@@ -2,8 +2,8 @@
 
 A process that is replaced hands over each client connection that it need not end itself
 (`net/connection_state.py`). Each transfer uses a socket of its own (`SOCK_SEQPACKET`, separate from the
-connection of `channel.py`). It carries one message in packets; the first packet passes the descriptors
-(SCM_RIGHTS) of the client and, while a body moves between the two, of the host.
+connection of `channel.py`). It carries one message in packets (`transfer_messages.py`); the first packet
+passes the descriptors (SCM_RIGHTS).
 
     older:  ACTIVE --pause: no reads, no writes--> PAUSED --message and descriptors--> OFFERED
             OFFERED --"held" received--> detached: both sockets are closed here, and neither peer notices
@@ -25,7 +25,6 @@
 import logging
 import os
 import socket
-import struct
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any, Protocol
@@ -34,66 +33,31 @@
 
 from whinrouter.handover.channel import short_path
 from whinrouter.handover.relayed import RelayedAnswer
+from whinrouter.handover.transfer_messages import (
+    DESCRIPTORS_PER_ANSWER,
+    LENGTH_PREFIX_BYTES,
+    MAX_DESCRIPTORS,
+    MAX_MESSAGE_BYTES,
+    PACKET_BYTES,
+    AnswerTransfer,
+    ClientTransfer,
+    TransferMessage,
+    UploadTransfer,
+    announced_length,
+    decode_message,
+    split_packets,
+)
 from whinrouter.memory_budget import ReadWindow
 from whinrouter.net.connect import LISTEN_RETRY_SECONDS, with_retries
-from whinrouter.streaming.remainder import Remainder
 
 log = logging.getLogger(__name__)
 
-# Of one message: enough for all bytes that may be buffered for one connection's client and host, and the
-# other fields.
-MAX_MESSAGE_BYTES = 512 * 1024
-PACKET_BYTES = 32 * 1024
-DESCRIPTORS_PER_ANSWER = MAX_DESCRIPTORS = 2  # in one message: the client's and the host's
 LISTEN_BACKLOG = 128  # transfers that are not accepted yet
 HELD_REPLY = b"held"
 REPLY_TIMEOUT_SECONDS = 1.0  # within which the newer process replies that it holds both sockets
 PAUSE_TIMEOUT_SECONDS = 0.25  # within which the framing has to reach a point that can be described
 POLL_INTERVAL_SECONDS = 0.005
 STUCK_CHECK_SECONDS = 0.25
-_LENGTH_PREFIX = struct.Struct(">I")
-
-
-class AnswerTransfer(msgspec.Struct, frozen=True, array_like=True, tag="answer"):
-    """An answer in progress: the client's and the host's sockets."""
-
-    remainder: Remainder
-    body_length: int | None  # of the whole body, as announced to the client; None: not announced
-    chunked: bool  # the client receives it in chunks
-    client_output: bytes = b""  # to be written to the client before the rest of the body
-
-
-class ClientTransfer(msgspec.Struct, frozen=True, array_like=True, tag="client"):
-    """A client connection between requests, or in a request of which no host has a part: its socket."""
-
-    unread_input: bytes  # read from the socket and not parsed yet
-    client_output: bytes  # to be written to the client before anything else
-    closes_connection: bool  # the connection ends after these bytes
-    waiting_seconds_left: float | None = None  # of the client's timeout; None: from an earlier version
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether nothing is owed to the client, and nothing has begun."""
-        return not (self.unread_input or self.client_output or self.closes_connection)
-
-
-class UploadTransfer(msgspec.Struct, frozen=True, array_like=True, tag="upload"):
-    """A request whose body is being sent to a host that has a part of it: both sockets."""
-
-    remainder: Remainder  # of the body, as the client sends it
-    received_bytes: int  # bytes of the body received so far
-    body_length: int | None  # of the whole body, as announced by the client; None: chunked
-    closes_connection: bool  # the connection ends after the answer
-    client_request_id: str
-    class_name: str
-    client_timeout: int  # microseconds that the client waits after the end of the body
-    server_id: int
-    client_output: bytes  # to be written to the client before anything else
-    host_output: bytes  # to be written to the host before the rest of the body
-
-
-TransferMessage = AnswerTransfer | ClientTransfer | UploadTransfer
-_decoder: msgspec.msgpack.Decoder[TransferMessage] = msgspec.msgpack.Decoder(TransferMessage)
 
 
 class TransferableConnection(Protocol):
@@ -136,13 +100,6 @@
     """This process has no capacity for another connection."""
 
 
-def split_packets(message: TransferMessage) -> list[bytes]:
-    """Return a message as packets of at most `PACKET_BYTES`: its length, then its payload."""
-    payload = msgspec.msgpack.encode(message)
-    framed = _LENGTH_PREFIX.pack(len(payload)) + payload
-    return [framed[offset : offset + PACKET_BYTES] for offset in range(0, len(framed), PACKET_BYTES)]
-
-
 class TransferSender:
     """The older process's side: offers connections to the process that listens at the path."""
 
@@ -313,7 +270,7 @@
     async def _receive_transfer(self, endpoint: socket.socket) -> None:
         with contextlib.ExitStack() as cleanup:
             payload, sockets = await self._receive_message(endpoint, cleanup)
-            message = _decoder.decode(payload)
+            message = decode_message(payload)
             if len(sockets) != (1 if isinstance(message, ClientTransfer) else MAX_DESCRIPTORS):
                 raise OSError("unexpected number of sockets")
             adopted = self._adopt_connection(message, sockets)
@@ -358,12 +315,12 @@
         sockets = [socket.socket(fileno=descriptor) for descriptor in descriptors]
         for received_socket in sockets:
             cleanup.callback(received_socket.close)
-        if len(data) < _LENGTH_PREFIX.size:
+        if len(data) < LENGTH_PREFIX_BYTES:
             raise OSError("the sender closed before its message")
-        (length,) = _LENGTH_PREFIX.unpack_from(data)
+        length = announced_length(data)
         if length > MAX_MESSAGE_BYTES:
             raise OSError("the message is too large")
-        payload = bytearray(data[_LENGTH_PREFIX.size :])
+        payload = bytearray(data[LENGTH_PREFIX_BYTES:])
         while len(payload) < length:
             packet, _ = await self._receive_packet(endpoint, 0)
             if not packet:
