Bound the silence within a small answer at the next process of an upgrade too

What callers saw, by reading: an answer that may be a short one, is passed on before its end and goes over to the next process had 10 s for its host's silence there, so that a client whose host had stopped saw it seconds behind its deadline, where half a second is allowed.

Cause: the bound was kept in the flow alone, and the message of the hand-over did not have it.

Evidence: the new case of tests/handover/test_long_answers.py; without the receiver's part it fails ("assert False", not overdue).

--- a/tests/handover/test_long_answers.py
+++ b/tests/handover/test_long_answers.py
@@ -25,17 +25,22 @@
     answers_with,
     async_test,
     request_text,
+    running_gateway,
     scripted_servers,
     wait_until,
 )
 from tests.processes import wait_for_log
 from tests.test_discovery import HEAD
 from tests.test_program import platform_config
+from whinrouter.handover.connections import ActiveConnection
 from whinrouter.handover.relayed import CLIENT_LINGER_SECONDS
 from whinrouter.handover.transfer import TransferReceiver, TransferSender
 from whinrouter.handover.transfer_messages import AnswerTransfer
 from whinrouter.memory_budget import ReadWindow
+from whinrouter.net.gateway import SILENCE_SLACK_SECONDS
 from whinrouter.net.http_messages import Message, encode_chunk
+from whinrouter.net.upstream import LIKELY_LONG_BYTES
+from whinrouter.streaming.flow import STALL_SECONDS, UNPROVEN_STALL_SECONDS
 from whinrouter.streaming.remainder import Framing, Remainder
 
 BODY = bytes(range(256)) * 2000
@@ -250,6 +255,42 @@
     receiver.stop()
 
 
+@async_test
+async def test_an_answer_that_may_be_short_is_bounded_by_its_deadline_at_the_next_process_too(
+    tmp_path: Path,
+) -> None:
+    """Its host had 10 s of silence there, and its client saw much too late that it had stopped."""
+
+    async def stops(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + encode_chunk(b"start"))
+
+    async with scripted_servers(stops) as (host,), running_gateway(host.member()) as proxy:
+        client = await proxy.client()
+        client.writer.write(request_text(headers={"X-Deadline": "5.0"}))
+        await wait_until(lambda: proxy.upstream.collecting)
+        (connection,) = proxy.upstream.collecting
+        connection._collected_at = asyncio.get_running_loop().time()  # as if the loop were never late
+        assert connection.stream_collected()
+        (streaming,) = proxy.frontend.streaming_connections
+        message = ActiveConnection(proxy.frontend, streaming).pause()
+        streaming.thaw()
+    assert isinstance(message, AnswerTransfer)
+    assert message.unproven_bytes == LIKELY_LONG_BYTES - len(b"start")
+    assert 0.0 < message.silent_seconds_left <= 5.0 + SILENCE_SLACK_SECONDS
+    path, answer = tmp_path / "answers", _FakeAnswer()
+    answer.message = message
+    receiver, now = _receiver(path), asyncio.get_running_loop().time
+    await receiver.open()
+    before = now()
+    assert await TransferSender(path).hand_over(answer)
+    (relayed,) = receiver.answers
+    assert not relayed.flow.is_overdue(before + message.silent_seconds_left)
+    assert relayed.flow.is_overdue(now() + message.silent_seconds_left + 2 * UNPROVEN_STALL_SECONDS)
+    assert message.silent_seconds_left + UNPROVEN_STALL_SECONDS < STALL_SECONDS
+    relayed.abandon()
+    receiver.stop()
+
+
 @async_test
 async def test_a_reader_that_is_slow_at_the_end_receives_the_whole_answer(tmp_path: Path) -> None:
     path, answer, length = tmp_path / "answers", _FakeAnswer(), 3_000_000
--- a/tests/streaming/test_slow_hosts.py
+++ b/tests/streaming/test_slow_hosts.py
@@ -22,8 +22,8 @@
 from whinrouter.net.frontend import SWEEP_INTERVAL_SECONDS
 from whinrouter.net.hosts import Member, hashed_server_id
 from whinrouter.net.http_messages import Message
-from whinrouter.net.upstream import LIKELY_LONG_BYTES, MAX_HELD_BACK_SECONDS, UNPROVEN_STALL_SECONDS
-from whinrouter.streaming.flow import READER_TIMEOUT_SECONDS, STALL_SECONDS, Flow
+from whinrouter.net.upstream import LIKELY_LONG_BYTES, MAX_HELD_BACK_SECONDS
+from whinrouter.streaming.flow import READER_TIMEOUT_SECONDS, STALL_SECONDS, UNPROVEN_STALL_SECONDS, Flow
 
 DEADLINE_SECONDS = 0.4
 PIECE = b"p" * 8000
--- a/whinrouter/handover/connections.py
+++ b/whinrouter/handover/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from collections.abc import Callable
 
@@ -19,7 +20,8 @@
 from whinrouter.net.gateway import HandedOverRequest
 from whinrouter.net.http_messages import LAST_CHUNK, encode_chunk
 from whinrouter.net.upstream import ConnectionPool, HostConnection
-from whinrouter.streaming.remainder import MovableSource
+from whinrouter.streaming.flow import Flow
+from whinrouter.streaming.remainder import MovableSource, Remainder
 
 TRANSFERABLE_STATES = frozenset(
     {
@@ -36,6 +38,14 @@
     return encode_chunk(body) if chunked and body else body
 
 
+def _answer_transfer(remainder: Remainder, flow: Flow, chunked: bool, client_output: bytes) -> AnswerTransfer:
+    """Return the message for an answer whose body is `flow`, both of whose connections are frozen."""
+    silent_seconds_left = flow.silent_seconds_left(asyncio.get_running_loop().time())
+    return AnswerTransfer(
+        remainder, flow.length, chunked, client_output, flow.unproven_bytes, silent_seconds_left
+    )
+
+
 class ActiveConnection:
     """A client connection of this process, in any state that can be transferred."""
 
@@ -88,7 +98,7 @@
         self._host = source
         source.freeze()
         client_output = client.freeze() + _framed(flow.unsent, chunked)
-        return AnswerTransfer(remainder, flow.length, chunked, client_output)
+        return _answer_transfer(remainder, flow, chunked, client_output)
 
     def _pause_upload(self) -> UploadTransfer | None:
         client, flow = self._client, self._client.request_flow
@@ -161,7 +171,7 @@
         if remainder is None:
             return None
         answer.host.freeze()
-        return AnswerTransfer(remainder, flow.length, answer.chunked, answer.client.freeze() + unsent)
+        return _answer_transfer(remainder, flow, answer.chunked, answer.client.freeze() + unsent)
 
     def descriptors(self) -> tuple[int, ...]:
         client = self._answer.client.descriptor
--- a/whinrouter/handover/relayed.py
+++ b/whinrouter/handover/relayed.py
@@ -11,7 +11,12 @@
 from whinrouter.net.http_messages import LAST_CHUNK, encode_chunk
 from whinrouter.net.sockets import acknowledged_bytes, reset
 from whinrouter.net.transport import SocketTransport
-from whinrouter.streaming.flow import READER_TIMEOUT_SECONDS, STALL_SECONDS, Flow
+from whinrouter.streaming.flow import (
+    READER_TIMEOUT_SECONDS,
+    STALL_SECONDS,
+    UNPROVEN_STALL_SECONDS,
+    Flow,
+)
 from whinrouter.streaming.remainder import BrokenRemainderError, Remainder, RemainderReader
 
 log = logging.getLogger(__name__)
@@ -47,6 +52,12 @@
         self.flow = Flow(self.host, length, now(), STALL_SECONDS, 0.0, window)
         self.is_over = False
 
+    def expect_bytes(self, count: int, silent_seconds: float) -> None:
+        """Bound the host's silence until so many bytes have come; it may be silent for `silent_seconds`."""
+        now = self.now()
+        self.flow.expect_bytes(count, UNPROVEN_STALL_SECONDS, now)
+        self.flow.allow_silence(now + silent_seconds, now)
+
     def connect(self, client: socket.socket, host: socket.socket, client_output: bytes) -> None:
         """Set up both sockets, paused. `client_output`: bytes to be written before all others."""
         SocketTransport(host, self.host, is_frozen=True)
--- a/whinrouter/handover/transfer.py
+++ b/whinrouter/handover/transfer.py
@@ -297,6 +297,8 @@
             self._remove_answer,
             self._window,
         )
+        if message.unproven_bytes:
+            answer.expect_bytes(message.unproven_bytes, message.silent_seconds_left)
         client, host = sockets
         answer.connect(client, host, message.client_output)
         self.answers.add(answer)
--- a/whinrouter/handover/transfer_messages.py
+++ b/whinrouter/handover/transfer_messages.py
@@ -29,6 +29,8 @@
     body_length: int | None  # of the whole body, as announced to the client; None: not announced
     chunked: bool  # the client receives it in chunks
     client_output: bytes = b""  # to be written to the client before the rest of the body
+    unproven_bytes: int = 0  # that must come before the host may be silent for as long as usual
+    silent_seconds_left: float = 0.0  # for which it may be so all the same
 
 
 class ClientTransfer(msgspec.Struct, frozen=True, array_like=True, tag="client"):
--- a/whinrouter/net/upstream.py
+++ b/whinrouter/net/upstream.py
@@ -31,7 +31,7 @@
 from whinrouter.net.http_messages import LAST_CHUNK, Message, encode_chunk
 from whinrouter.net.sockets import acknowledged_bytes, read_poller, seconds_since_received
 from whinrouter.net.transport import SocketTransport
-from whinrouter.streaming.flow import STALL_SECONDS, Flow
+from whinrouter.streaming.flow import STALL_SECONDS, UNPROVEN_STALL_SECONDS, Flow
 from whinrouter.streaming.remainder import Remainder
 
 log = logging.getLogger(__name__)
@@ -44,7 +44,6 @@
 # With less of it the host may have stopped: within half a second of its time a request must be answered, or
 # visibly failed, so from its deadline on its host may be silent for less than that (`Flow.allow_silence`).
 LIKELY_LONG_BYTES = 16 * 1024
-UNPROVEN_STALL_SECONDS = 0.2
 SWEEP_SECONDS = 0.25  # interval of the search for connections that were idle too long; well under the margin
 # A connection is not reused for this long after an answer. A duplicate answer that arrives a few milliseconds
 # behind the first one (1 to 4 ms in 101 cases) would be taken for the answer to the next request. The delay
--- a/whinrouter/streaming/flow.py
+++ b/whinrouter/streaming/flow.py
@@ -32,6 +32,7 @@
 MIN_BODY_RATE = 32_000.0
 GRACE_SECONDS = 2.0  # a client may be silent for this long
 STALL_SECONDS = 10.0  # a host may be silent for this long: legitimate pauses of hosts were a few seconds
+UNPROVEN_STALL_SECONDS = 0.2  # the same, of an answer that may be a short one, from its client's deadline on
 # Time within which the reader of a streamed body has to show progress. The kernel reports that a program has
 # read only once a sixteenth of its receive buffer is free again, and the buffer grows with what was once read
 # fast: readers at `MIN_BODY_RATE` showed no progress for up to 16.3 s in one run and 10.2 s in another
@@ -203,6 +204,15 @@
         self._unproven_bytes, self._grace = count, stall_seconds
         self._rate_floor = RateFloor(now, stall_seconds, 0.0)
 
+    @property
+    def unproven_bytes(self) -> int:
+        """The bytes that must arrive before the source may be silent for as long as usual; 0: none."""
+        return max(0, self._unproven_bytes)
+
+    def silent_seconds_left(self, now: float) -> float:
+        """Return for how many seconds a source that has to prove itself has the usual grace."""
+        return max(0.0, self._silent_until - now)
+
     def allow_silence(self, until: float, now: float) -> None:
         """Give a source that has to prove itself the usual grace until this time."""
         self._silent_until = until
