Look former classes up by name, and drop them as their last request is over

Change: an index by name, and each lookup drops what is over; former routes likewise.

Result: the new case of test_request_classes failed before (the former class was kept); the cost of a request was not measured.

--- a/tests/test_request_classes.py
+++ b/tests/test_request_classes.py
@@ -123,6 +123,15 @@
     assert len(classes._former) == MAX_FORMER_CLASSES
 
 
+def test_a_request_drops_the_former_classes_whose_requests_are_over() -> None:
+    """Each request looks through the former classes of its name: after a retune they were kept for good."""
+    classes = _retuned(Settings((READ, replace(SUBMIT, worth=2.0))))
+    assert len(classes.former_named(SUBMIT.name.encode(), OVER_AT - 0.001)) == 1
+    assert _found(classes, READ, OVER_AT) is READ
+    assert not classes._former
+    assert not classes._former_by_name
+
+
 def test_a_request_that_is_received_slowly_keeps_its_class_whatever_the_deadlines() -> None:
     """A head that took longer than the longest deadline of all classes was unknown when it was whole."""
     quick_read = replace(READ, aim=100 * MS, deadline=300 * MS)
--- a/whinrouter/net/request_classes.py
+++ b/whinrouter/net/request_classes.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 from typing import NamedTuple
@@ -48,6 +49,8 @@
     def __init__(self, settings: Settings) -> None:
         self._in_force = {request_class.name.encode(): request_class for request_class in settings.classes}
         self._former: list[FormerClass] = []  # the latest replaced one is last
+        self._former_by_name: dict[bytes, list[FormerClass]] = {}
+        self._next_over_at = math.inf  # the time at which the first of them is to be dropped
 
     @property
     def longest_deadline(self) -> int:
@@ -95,11 +98,17 @@
         """Add classes that were in force until `now`, with settings of this longest deadline."""
         self._drop_closed(now)
         accepted_until = end_of_acceptance(longest_deadline, now)
-        self._former += [
+        added = [
             FormerClass(request_class, now, accepted_until, accepted_until + request_class.deadline / SECOND)
             for request_class in replaced
         ]
-        del self._former[:-MAX_FORMER_CLASSES]
+        self._set_former([*self._former, *added][-MAX_FORMER_CLASSES:])
+
+    def _set_former(self, former: list[FormerClass]) -> None:
+        self._former, self._former_by_name = former, {}
+        for entry in former:
+            self._former_by_name.setdefault(entry.request_class.name.encode(), []).append(entry)
+        self._next_over_at = min((entry.over_at for entry in former), default=math.inf)
 
     def find(self, name: bytes, method: bytes, began_at: float, now: float) -> RequestClass | None:
         """Return the class of a request that began at `began_at`; None if there is none of this name.
@@ -110,22 +119,22 @@
         """
         in_force = self._in_force.get(name)
         former = [
-            entry for entry in self.former_named(name) if is_method_allowed(method, entry.request_class)
+            entry for entry in self.former_named(name, now) if is_method_allowed(method, entry.request_class)
         ]
         if in_force is not None and is_method_allowed(method, in_force):
             return resolve_class(in_force, former, began_at)
         accepted = [entry.request_class for entry in former if entry.accepted_until > now]
         return replace(accepted[-1], name="") if accepted else in_force
 
-    def former_named(self, name: bytes) -> list[FormerClass]:
+    def former_named(self, name: bytes, now: float) -> list[FormerClass]:
         """Return the former classes of this name, the latest replaced one last."""
-        if not self._former:
-            return []
-        return [entry for entry in self._former if entry.request_class.name.encode() == name]
+        self._drop_closed(now)
+        return self._former_by_name.get(name, [])
 
     def _drop_closed(self, now: float) -> None:
         """Drop the former classes whose last request is over."""
-        self._former = [former for former in self._former if former.over_at > now]
+        if now >= self._next_over_at:
+            self._set_former([former for former in self._former if former.over_at > now])
 
 
 def end_of_acceptance(longest_deadline: int, now: float) -> float:
--- a/whinrouter/net/route_history.py
+++ b/whinrouter/net/route_history.py
@@ -43,7 +43,7 @@
 
     def apply_routes(self, routes: Routes, accepted_until: float, now: float) -> None:
         """Put new routes in force; requests of the former ones are accepted until `accepted_until`."""
-        self._former = [former for former in self._former if former.accepted_until > now]
+        self._drop_closed(now)
         self._former.append(_FormerRoutes(self._in_force, now, accepted_until))
         del self._former[:-MAX_FORMER_ROUTES]
         self._in_force = routes
@@ -53,21 +53,26 @@
 
         `header_class`: its X-Class header, which must match. Raises `BadMessageError` if there is no route.
         """
+        self._drop_closed(now)
         former = [
             found for routes in self._former if (found := routes.find(message, header_class)) is not None
         ]
         route = self._in_force.find(message.target)
         if route is not None and _fits(route, message, header_class):
             name = route.request_class.name.encode()
-            former = sorted([*former, *self._classes.former_named(name)], key=_replaced_at)
+            former = sorted([*former, *self._classes.former_named(name, now)], key=_replaced_at)
             return resolve_class(route.request_class, former, message.began_at)
-        accepted = [entry.request_class for entry in former if entry.accepted_until > now]
-        if accepted:
-            return replace(accepted[-1], name="")
+        if former:
+            return replace(former[-1].request_class, name="")
         if route is None or not _has_class(route, header_class):
             raise BadMessageError(HTTPStatus.BAD_REQUEST, "the path matches no class")
         raise BadMessageError(HTTPStatus.METHOD_NOT_ALLOWED, "the class requires another method")
 
+    def _drop_closed(self, now: float) -> None:
+        """Drop the former routes whose requests are not accepted any more."""
+        if any(former.accepted_until <= now for former in self._former):
+            self._former = [former for former in self._former if former.accepted_until > now]
+
 
 def _replaced_at(former: FormerClass) -> float:
     return former.replaced_at
