Do not take an older process that is stopping for one that was drained

Change: it is sent only where an operator's LEAVE is in force.

Evidence: the new case of tests/handover/test_upgrade.py failed before ("+OK leaving"), with a real process that holds a request while the next one starts; it passes.

--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -24,6 +24,7 @@
     ScriptedServer,
     answers_with,
     async_test,
+    never_answers,
     request_text,
     scripted_servers,
     wait_until,
@@ -108,6 +109,28 @@
             yield first_host, second_host, listener, config, listener.getsockname()[1]
 
 
+@async_test
+async def test_a_process_that_starts_while_the_older_one_ends_serves(tmp_path: Path) -> None:
+    """It took an older process that was stopping for one that an operator had drained, and never came up."""
+    async with scripted_servers(never_answers, _watch) as (host, service):
+        with listening_socket() as listener:
+            config, port = platform_config(service.port, host.discovery_entry()), listener.getsockname()[1]
+            async with running_gateway_process(tmp_path, listener, config) as old:
+                await wait_until_ready(old)
+                client = await Client.connect(port)
+                client.writer.write(request_text("chapter-buy", {"X-Deadline": ""}))
+                await wait_until(lambda: host.requests)  # the older process ends with its answer
+                old.process.send_signal(signal.SIGTERM)
+                await wait_for_log(old.process, "stopping")
+                async with running_gateway_process(tmp_path, listener, config) as new:
+                    await wait_until_ready(new)
+                    assert "leaving" not in await control_call(new.control, "HEALTH")
+                    async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+                        while await up_status(port) != 200:
+                            await asyncio.sleep(0.01)
+                    assert old.process.returncode is None
+
+
 @async_test
 async def test_hosts_out_stay_out_over_an_upgrade_and_calls_reach_both_processes(tmp_path: Path) -> None:
     async with (
--- a/whinrouter/handover/coordinator.py
+++ b/whinrouter/handover/coordinator.py
@@ -63,6 +63,7 @@
 from whinrouter.net.hosts import HostList
 from whinrouter.net.upstream import ConnectionPool
 from whinrouter.operations.controller import OperationsController
+from whinrouter.operations.presence import Stage
 
 log = logging.getLogger(__name__)
 
@@ -335,7 +336,7 @@
                 out_ages,
                 put_back_ages,
                 controller.start_times.ages(now),
-                not controller.presence.accepts_clients,
+                controller.presence.stage is Stage.LEAVING,
                 self.gateway.export_learned_state(now),
                 self.gateway.executed_requests.digests(),
                 tuple(map(encode_class, open_classes)),
