Report a list entry that is no table as a finding, not by a traceback

What callers saw: `copperlead sidecar check` ended in a TypeError on a catalogue with `effect = [1]`; on the list of known failures.

Cause: the decoder returned the default of a section for a value that is no table, also for sections with required keys, which have none. Change: such an entry is left out, with its finding, as one that lacks a key is.

Evidence: the new case of tests/corpus/effects.cases failed before ("Missing required argument 'name'"); it passes.

--- a/whinrouter/operator/decode.py
+++ b/whinrouter/operator/decode.py
@@ -33,11 +33,12 @@
     findings is never run. The section is None if a required key is missing or wrong. `locate` returns where a
     key is set.
     """
+    fields = {field.encode_name: field for field in msgspec.structs.fields(struct_type)}
     if not isinstance(raw, Mapping):
-        return struct_type(), [
+        has_default = not any(field.required for field in fields.values())
+        return struct_type() if has_default else None, [
             _finding(locate, path, "type", "This is not a table.", "Write it as [section] with keys.")
         ]
-    fields = {field.encode_name: field for field in msgspec.structs.fields(struct_type)}
     findings = [_unknown_key(locate, (*path, key), fields) for key in raw if key not in fields]
     values: dict[str, Any] = {}
     for name, field in fields.items():
