Look at the clock before each attempt, also on an idle connection

Cause: the attempt was decided with the time of the event, and only attempts that waited for a connection were checked by a clock read at the send.

Evidence: the new case of tests/test_late_connections.py, which blocks the loop between decision and send, failed before with the same violation; it passes.

--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -141,3 +141,20 @@
     _block_loop(DEDUP_WINDOW / SECOND)
     assert sender.begin(0) is Outcome.NOT_SENT
     await wait_until(lambda: answers)
+
+
+@async_test
+async def test_an_attempt_on_an_idle_connection_is_not_begun_after_its_time() -> None:
+    """A suspension of the process between the decision and the send made it a violation of an invariant."""
+    async with scripted_servers(answers_with()) as (host,), running_gateway(host.member()) as proxy:
+        client = await proxy.client()
+        assert (await client.fetch()).status == 200
+        send, loop = proxy.upstream.send, asyncio.get_running_loop()
+
+        def send_late(server: int, message: Message, expires_at: float, *rest: Any) -> Any:
+            _block_loop(expires_at - loop.time() + 0.01)
+            return send(server, message, expires_at, *rest)
+
+        replace_method(proxy.upstream, "send", send_late)
+        assert (await client.fetch(headers={"X-Deadline": "0.2"})).status in (502, 503, 504)
+        assert len(host.requests) == 1
--- a/whinrouter/net/gateway.py
+++ b/whinrouter/net/gateway.py
@@ -563,8 +563,11 @@
             if self._is_abandoned(pending):
                 return Outcome.CANCELLED
             has_other_attempts = len(pending.attempts) - pending.never_ran_count > 1
-            if (has_other_attempts and 0 < pending.start_by <= now) or loop_now >= attempt.expires_at:
+            if has_other_attempts and 0 < pending.start_by <= now:
                 return Outcome.NOT_SENT
+        # The process may have been suspended since the attempt was decided.
+        if loop_now >= attempt.expires_at:
+            return Outcome.NOT_SENT
         announced_deadline = (
             round((attempt.expires_at - loop_now) * SECOND) if attempt.message.body_flow is None else 0
         )
