Do not lose a hand-over's reply that comes as the time for it ends

What callers saw, by reading: if the loop of the older process is late, "held" and the end of the second in which it is due are handled in one turn; the reply is read, the wait is cancelled before it is returned, and both processes own the connection.

Cause: sock_recv within a timeout loses what it has read where the cancellation comes before the result is fetched. Change: the reply is read and returned in one step.

Evidence: the new case of tests/handover/test_held_reply.py, which blocks the loop over both moments, failed before; it passes.

--- a/tests/handover/test_held_reply.py
+++ b/tests/handover/test_held_reply.py
@@ -1,15 +1,17 @@
-"""The reply by which the newer process takes a connection over, where it arrives in parts."""
+"""The reply by which the newer process takes a connection over, where it arrives in parts or late."""
 
 from __future__ import annotations
 
 import asyncio
 import socket
+import threading
+import time
 from pathlib import Path
 
 import pytest
 
 from tests.peers import async_test
-from whinrouter.handover.transfer import HELD_REPLY, TransferSender
+from whinrouter.handover.transfer import HELD_REPLY, REPLY_TIMEOUT_SECONDS, TransferSender
 from whinrouter.handover.transfer_messages import ClientTransfer
 
 
@@ -57,3 +59,29 @@
     assert is_held is connection.is_detached is HELD_REPLY.startswith(reply)
     assert connection.is_resumed is not is_held
     connection.close()
+
+
+@async_test
+async def test_a_reply_that_is_read_as_the_time_for_it_ends_counts(tmp_path: Path) -> None:
+    """In one turn of the loop with the end of its time it was read and lost, and both kept the sockets."""
+    path, connection = tmp_path / "answers", _Connection()
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as listener:
+        listener.bind(str(path))
+        listener.listen()
+
+        def reply_while_the_loop_is_blocked() -> None:
+            endpoint, _ = listener.accept()
+            with endpoint:
+                endpoint.recv(4096)
+                time.sleep(REPLY_TIMEOUT_SECONDS / 2)
+                endpoint.send(HELD_REPLY)
+
+        replying = threading.Thread(target=reply_while_the_loop_is_blocked)
+        replying.start()
+        loop = asyncio.get_running_loop()
+        loop.call_later(REPLY_TIMEOUT_SECONDS / 4, time.sleep, REPLY_TIMEOUT_SECONDS)
+        is_held = await TransferSender(path).hand_over(connection)
+        replying.join()
+    assert is_held
+    assert connection.is_detached
+    assert not connection.is_resumed
--- a/whinrouter/handover/transfer.py
+++ b/whinrouter/handover/transfer.py
@@ -152,7 +152,16 @@
         loop = asyncio.get_running_loop()
         for packet in packets:
             await loop.sock_sendall(endpoint, packet)
-        return _is_held_reply(await loop.sock_recv(endpoint, len(HELD_REPLY)))
+        return _is_held_reply(await _receive_reply(endpoint))
+
+
+async def _receive_reply(endpoint: socket.socket) -> bytes:
+    """Return the reply. It is read and returned in one step: a cancellation in between would lose it."""
+    while True:
+        try:
+            return endpoint.recv(len(HELD_REPLY))
+        except BlockingIOError:
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
 
 def _is_held_reply(reply: bytes) -> bool:
